--- /dev/null
+++ b/cmd/banyanyard/serve.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"banyanyard/io/platform"
+	"banyanyard/node"
+	"banyanyard/node/settings"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/spf13/cobra"
+)
+
+func newServe() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Run one entry instance",
+		Long:    "Run one entry instance until SIGTERM or SIGINT, which stop it gracefully.",
+		Example: "  banyanyard serve --settings /etc/banyanyard/settings.toml",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return serve(c.Context(), file) },
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file (required)")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+func serve(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	key, err := s.SessionKey()
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	store := &platform.Client{Base: s.Platform.URL, HTTP: &http.Client{}}
+	n := node.New(s, key, store, logger)
+	listeners, err := n.Listen()
+	if err != nil {
+		return err
+	}
+	return n.Serve(ctx, listeners)
+}
+
+// newLogger returns a logger that writes JSON lines to standard error.
+func newLogger(level string) (*log.Logger, error) {
+	l, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	return &log.Logger{Handler: json.New(os.Stderr), Level: l}, nil
+}
--- /dev/null
+++ b/core/dispatch/dispatcher.go
@@ -0,0 +1,426 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"banyanyard/core/ramp"
+	"banyanyard/core/refusal"
+	"banyanyard/core/route"
+	"banyanyard/core/rules"
+	"banyanyard/core/slot"
+)
+
+// waitingPerSlot bounds the queue of a pool, in tickets for each slot.
+const waitingPerSlot = 8
+
+// minWaiting is the length that every queue may reach.
+const minWaiting = 16
+
+// initialHold is the time that a slot is assumed to be held before any was
+// released.
+const initialHold = time.Second
+
+// holdWeight is the weight of the newest sample in the moving average.
+const holdWeight = 0.1
+
+// A Dispatcher hands out this instance's slots.
+type Dispatcher struct {
+	self      string // identifier of this instance
+	domain    string // failure domain of this instance
+	members   []string
+	set       *rules.Set
+	upstreams map[string]*upstream
+	pools     map[Pool]*pool
+	random    *rand.Rand
+}
+
+// A pool is the upstreams and the queue for one Pool.
+type pool struct {
+	near  []*upstream // of this instance's failure domain, in service
+	far   []*upstream // of the others, in service
+	queue queue
+	hold  time.Duration // moving average of the time that a slot is held
+}
+
+// New returns a Dispatcher without rules. Its choices among equal upstreams
+// depend on the seed alone.
+func New(self, domain string, seed uint64) *Dispatcher {
+	return &Dispatcher{
+		self:      self,
+		domain:    domain,
+		members:   []string{self},
+		upstreams: map[string]*upstream{},
+		pools:     map[Pool]*pool{},
+		random:    rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Update replaces the rules and the members among which limits are dealt. It
+// refuses waiting tickets that the new rules forbid, and grants those that the
+// new rules have room for.
+func (d *Dispatcher) Update(now time.Time, set *rules.Set, members []string) {
+	d.set = set
+	d.members = members
+	d.updateUpstreams()
+	d.rebuildPools()
+	for _, p := range d.pools {
+		d.refuseForbidden(p)
+		d.serve(now, p)
+	}
+}
+
+func (d *Dispatcher) updateUpstreams() {
+	for id, u := range d.upstreams {
+		if d.set.Upstreams[id] == nil {
+			u.inService = false
+			delete(d.upstreams, id)
+		}
+	}
+	for _, rule := range d.set.UpstreamsByID() {
+		u := d.upstreams[rule.ID]
+		if u == nil || u.rule.Address != rule.Address {
+			u = &upstream{}
+			d.upstreams[rule.ID] = u
+		}
+		d.configure(u, rule)
+	}
+}
+
+func (d *Dispatcher) configure(u *upstream, rule *rules.Upstream) {
+	inService := d.set.InService(rule)
+	if inService && !u.inService && u.rule != nil {
+		// An upstream that returns to service has usually been restarted.
+		u.ramp.Restart()
+	}
+	u.rule = rule
+	u.inService = inService
+	u.share = slot.Deal(rule.ID, rule.MaxRequests, d.members, d.self)
+	u.coldShare = slot.Deal(rule.ID, max(rule.ColdRequests, 1), d.members, d.self)
+	u.tokens = 0
+	if rule.MaxTokens > 0 {
+		u.tokens = max(1, slot.Deal(rule.ID, rule.MaxTokens, d.members, d.self))
+	}
+}
+
+func (d *Dispatcher) rebuildPools() {
+	for _, p := range d.pools {
+		p.near = nil
+		p.far = nil
+	}
+	for _, rule := range d.set.UpstreamsByID() {
+		u := d.upstreams[rule.ID]
+		if !u.inService || u.share == 0 {
+			continue
+		}
+		for _, key := range poolsOf(rule) {
+			p := d.pool(key)
+			if rule.FailureDomain == d.domain {
+				p.near = append(p.near, u)
+			} else {
+				p.far = append(p.far, u)
+			}
+		}
+	}
+	for key, p := range d.pools {
+		if len(p.near)+len(p.far)+p.queue.size == 0 {
+			delete(d.pools, key)
+		}
+	}
+}
+
+func poolsOf(u *rules.Upstream) []Pool {
+	if u.Service != "" {
+		return []Pool{{Service: u.Service}}
+	}
+	pools := make([]Pool, 0, len(u.Serves))
+	for _, s := range u.Serves {
+		pools = append(pools, Pool{Target: rules.ParseTarget(s)})
+	}
+	return pools
+}
+
+func (d *Dispatcher) pool(key Pool) *pool {
+	p := d.pools[key]
+	if p == nil {
+		p = &pool{hold: initialHold}
+		d.pools[key] = p
+	}
+	return p
+}
+
+func (d *Dispatcher) refuseForbidden(p *pool) {
+	var forbidden []*Ticket
+	p.queue.each(func(t *Ticket) {
+		if d.forbids(t) != nil {
+			forbidden = append(forbidden, t)
+		}
+	})
+	for _, t := range forbidden {
+		p.queue.remove(t)
+		t.OnRefuse(t, d.forbids(t))
+	}
+}
+
+// forbids returns the refusal when the newest rules give the ticket no
+// upstream.
+func (d *Dispatcher) forbids(t *Ticket) error {
+	if t.Pool.Service == "" && !route.Usable(d.set, t.Organisation, t.Pool.Target) {
+		return refusal.New(refusal.VersionWithdrawn,
+			"send the request again without naming the version",
+			"version %q takes no new work", t.Pool.Target.String())
+	}
+	p := d.pools[t.Pool]
+	if p == nil || len(p.near)+len(p.far) == 0 {
+		return refusal.New(refusal.NoUpstream,
+			"try again later; operators see why in the rules for its upstreams and failure domains",
+			"no upstream in service has room for %q", poolName(t.Pool)).After(time.Second)
+	}
+	return nil
+}
+
+func poolName(p Pool) string {
+	if p.Service != "" {
+		return p.Service
+	}
+	return p.Target.String()
+}
+
+// Offer grants the ticket a slot and returns true, or queues it and returns
+// false. An error refuses it.
+func (d *Dispatcher) Offer(now time.Time, t *Ticket) (bool, error) {
+	if err := d.forbids(t); err != nil {
+		return false, err
+	}
+	p := d.pools[t.Pool]
+	if !p.queue.ahead(t.Priority) {
+		if u := d.pick(now, p, t); u != nil {
+			u.take(now, t)
+			return true, nil
+		}
+	}
+	if err := p.down(now, t); err != nil {
+		return false, err
+	}
+	if err := p.full(now, t); err != nil {
+		return false, err
+	}
+	p.queue.push(t)
+	return false, nil
+}
+
+// down refuses a ticket when every upstream is unreachable.
+func (p *pool) down(now time.Time, t *Ticket) error {
+	var up time.Time
+	for _, us := range [...][]*upstream{p.near, p.far} {
+		for _, u := range us {
+			if !now.Before(u.downUntil) {
+				return nil
+			}
+			if up.IsZero() || u.downUntil.Before(up) {
+				up = u.downUntil
+			}
+		}
+	}
+	return refusal.New(refusal.NoUpstream,
+		"send the request again after the time in Retry-After",
+		"no upstream of %q can be reached", poolName(t.Pool)).After(max(up.Sub(now), time.Second))
+}
+
+// full refuses a ticket that would wait too long.
+func (p *pool) full(now time.Time, t *Ticket) error {
+	slots := p.slots()
+	limit := max(minWaiting, waitingPerSlot*slots)
+	fair := limit / p.queue.organisations(t.Organisation)
+	wait := p.wait(slots)
+	if p.queue.size >= limit || p.queue.waitingOf(t.Organisation) >= max(fair, 1) {
+		return overloaded(t, wait)
+	}
+	if !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
+		return overloaded(t, wait)
+	}
+	return nil
+}
+
+func overloaded(t *Ticket, wait time.Duration) error {
+	return refusal.New(refusal.Overloaded,
+		"send the request again after the time in Retry-After",
+		"too many requests wait for %q", poolName(t.Pool)).After(max(wait, time.Second))
+}
+
+func (p *pool) slots() int {
+	n := 0
+	for _, u := range p.near {
+		n += u.limit()
+	}
+	for _, u := range p.far {
+		n += u.limit()
+	}
+	return n
+}
+
+// wait estimates how long a new ticket waits.
+func (p *pool) wait(slots int) time.Duration {
+	return time.Duration(int64(p.hold) * int64(p.queue.size) / int64(max(slots, 1)))
+}
+
+// pick returns an upstream with room: the less loaded of two random ones of
+// this failure domain, else of the others.
+func (d *Dispatcher) pick(now time.Time, p *pool, t *Ticket) *upstream {
+	if t.Only != "" {
+		return p.named(now, t, t.Only)
+	}
+	if u := d.pickFrom(now, p.near, t); u != nil {
+		return u
+	}
+	if u := d.pickFrom(now, p.far, t); u != nil {
+		return u
+	}
+	return p.named(now, t, t.Avoid)
+}
+
+// named returns the upstream with the identifier when it can take the ticket.
+func (p *pool) named(now time.Time, t *Ticket, id string) *upstream {
+	if id == "" {
+		return nil
+	}
+	for _, us := range [...][]*upstream{p.near, p.far} {
+		for _, u := range us {
+			if u.rule.ID == id && u.free(now, t) {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) pickFrom(now time.Time, us []*upstream, t *Ticket) *upstream {
+	if len(us) == 0 {
+		return nil
+	}
+	a := us[d.random.IntN(len(us))]
+	b := us[d.random.IntN(len(us))]
+	if b.load() < a.load() {
+		a = b
+	}
+	if a.rule.ID != t.Avoid && a.free(now, t) {
+		return a
+	}
+	return firstFree(now, us, t, d.random.IntN(len(us)))
+}
+
+// firstFree scans all upstreams from a random start.
+func firstFree(now time.Time, us []*upstream, t *Ticket, start int) *upstream {
+	for i := range us {
+		u := us[(start+i)%len(us)]
+		if u.rule.ID != t.Avoid && u.free(now, t) {
+			return u
+		}
+	}
+	return nil
+}
+
+// Release ends a granted ticket and grants its slot to waiting ones.
+func (d *Dispatcher) Release(now time.Time, t *Ticket, o Outcome, firstToken time.Duration) {
+	u := t.upstream
+	if u == nil {
+		return
+	}
+	u.give(t)
+	u.observe(now, t.epoch, o, firstToken)
+	t.upstream = nil
+	p := d.pools[t.Pool]
+	if p == nil {
+		return
+	}
+	held := now.Sub(t.granted)
+	p.hold += time.Duration(holdWeight * float64(held-p.hold))
+	for _, key := range poolsOf(u.rule) {
+		if p := d.pools[key]; p != nil && p.queue.size > 0 {
+			d.serve(now, p)
+		}
+	}
+}
+
+// Cancel ends a ticket that still waits. It reports whether it did; a ticket
+// that was granted in the meantime must be released.
+func (d *Dispatcher) Cancel(t *Ticket) bool {
+	if !t.waiting {
+		return false
+	}
+	if p := d.pools[t.Pool]; p != nil {
+		p.queue.remove(t)
+	}
+	return true
+}
+
+// Tick serves queues whose upstreams have become usable with time.
+func (d *Dispatcher) Tick(now time.Time) {
+	for _, p := range d.pools {
+		if p.queue.size > 0 {
+			d.serve(now, p)
+		}
+	}
+}
+
+func (d *Dispatcher) serve(now time.Time, p *pool) {
+	p.queue.serve(func(t *Ticket) bool {
+		u := d.pick(now, p, t)
+		if u == nil {
+			return false
+		}
+		u.take(now, t)
+		t.OnGrant(t)
+		return true
+	})
+}
+
+// A View is this instance's view of one upstream.
+type View struct {
+	ID        string
+	InService bool
+	Reachable bool
+	Level     ramp.Level
+	Requests  int // held by this instance
+	Limit     int // of this instance now
+}
+
+// Views returns the view of every upstream, sorted by identifier.
+func (d *Dispatcher) Views(now time.Time) []View {
+	if d.set == nil {
+		return nil
+	}
+	views := make([]View, 0, len(d.upstreams))
+	for _, rule := range d.set.UpstreamsByID() {
+		u := d.upstreams[rule.ID]
+		views = append(views, View{
+			ID:        rule.ID,
+			InService: u.inService,
+			Reachable: !now.Before(u.downUntil),
+			Level:     u.ramp.Level(),
+			Requests:  u.requests,
+			Limit:     u.limit(),
+		})
+	}
+	return views
+}
+
+// Merge takes the levels of another instance into account.
+func (d *Dispatcher) Merge(now time.Time, levels map[string]ramp.Level) {
+	for id, level := range levels {
+		if u := d.upstreams[id]; u != nil {
+			u.ramp.Merge(level)
+		}
+	}
+	d.Tick(now)
+}
+
+// Held returns the requests and tokens that this instance holds at an
+// upstream.
+func (d *Dispatcher) Held(upstreamID string) (requests, tokens int) {
+	u := d.upstreams[upstreamID]
+	if u == nil {
+		return 0, 0
+	}
+	return u.requests, u.tokensHeld
+}
--- /dev/null
+++ b/core/dispatch/upstream.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"time"
+
+	"banyanyard/core/ramp"
+	"banyanyard/core/rules"
+)
+
+// The bounds of the time that an unreachable upstream is left alone.
+const (
+	minDown = 250 * time.Millisecond
+	maxDown = 8 * time.Second
+)
+
+// An upstream is this instance's view of one upstream.
+type upstream struct {
+	rule      *rules.Upstream
+	inService bool
+	share     int // requests of this instance when the upstream is warm
+	coldShare int // requests of this instance when it is cold
+	tokens    int // tokens of this instance; 0 means no limit
+	ramp      ramp.Ramp
+
+	requests   int // granted now
+	tokensHeld int // granted now
+	failures   int // unreachable in a row
+	downUntil  time.Time
+}
+
+// limit returns the requests that this instance may hold now.
+func (u *upstream) limit() int {
+	return u.ramp.Level().Limit(u.coldShare, u.share)
+}
+
+// free reports whether the upstream can take the ticket.
+func (u *upstream) free(now time.Time, t *Ticket) bool {
+	if !u.inService || u.requests >= u.limit() || now.Before(u.downUntil) {
+		return false
+	}
+	if u.tokens == 0 || u.tokensHeld+t.Tokens <= u.tokens {
+		return true
+	}
+	// A request larger than the share runs alone rather than never.
+	return u.tokensHeld == 0 && t.Tokens <= u.rule.MaxTokens
+}
+
+// load orders upstreams that could take a ticket; lower is better.
+func (u *upstream) load() float64 {
+	return float64(u.requests+1) / float64(max(u.limit(), 1))
+}
+
+func (u *upstream) take(now time.Time, t *Ticket) {
+	u.requests++
+	u.tokensHeld += t.Tokens
+	t.upstream = u
+	t.granted = now
+	t.epoch = u.ramp.Level().Epoch
+	t.waiting = false
+}
+
+func (u *upstream) give(t *Ticket) {
+	u.requests--
+	u.tokensHeld -= t.Tokens
+}
+
+// observe learns from the outcome of an attempt that began in the epoch.
+func (u *upstream) observe(now time.Time, epoch uint32, o Outcome, firstToken time.Duration) {
+	switch o {
+	case Answered:
+		u.failures = 0
+		u.downUntil = time.Time{}
+		u.ramp.Answered(epoch, firstToken)
+	case Refused:
+		u.ramp.Cold(epoch)
+	case Unreachable:
+		u.ramp.Cold(epoch)
+		u.downUntil = now.Add(min(maxDown, minDown<<min(u.failures, 10)))
+		u.failures++
+	case Broken:
+		u.ramp.Cold(epoch)
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/core/rules/kinds.go
@@ -0,0 +1,220 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+)
+
+// A Source tells where a rule stands and who asked for it.
+type Source struct {
+	Line    int    // 1-based
+	AskedBy string // never empty
+	Text    string // the whole line, without surrounding space
+}
+
+// A Target is one version of one model. An empty Version means the version
+// that the rules choose.
+type Target struct {
+	Model   string
+	Version string
+}
+
+// ParseTarget splits "model" or "model@version".
+func ParseTarget(s string) Target {
+	model, version, _ := strings.Cut(s, "@")
+	return Target{Model: model, Version: version}
+}
+
+// String returns "model@version", or "model" without a version.
+func (t Target) String() string {
+	if t.Version == "" {
+		return t.Model
+	}
+	return t.Model + "@" + t.Version
+}
+
+// A VersionState says what new work a version gets.
+type VersionState string
+
+// The states of a version.
+const (
+	Serving   VersionState = "serving"   // new and running sessions
+	Draining  VersionState = "draining"  // running sessions only
+	Withdrawn VersionState = "withdrawn" // nothing
+)
+
+// A Presence says whether operators have a failure domain or an upstream in
+// service.
+type Presence string
+
+// The presences of a failure domain or an upstream.
+const (
+	In  Presence = "in"
+	Out Presence = "out"
+)
+
+// A Priority orders requests that wait for the same upstreams.
+type Priority string
+
+// The priorities, highest first.
+const (
+	Interactive Priority = "interactive"
+	Batch       Priority = "batch"
+)
+
+// An Organisation calls with one of its keys.
+type Organisation struct {
+	Source `toml:"-"`
+	ID     string   `toml:"id"`
+	Keys   []string `toml:"keys"`   // each "sha256:" and 64 hexadecimal digits
+	Weight int      `toml:"weight"` // share of contended upstreams; 0 means 1
+}
+
+// A Model is a family of versions.
+type Model struct {
+	Source        `toml:"-"`
+	ID            string `toml:"id"`
+	ContextTokens int    `toml:"context-tokens"` // most tokens of prompt and answer together
+}
+
+// A Version is one build of a model.
+type Version struct {
+	Source     `toml:"-"`
+	Model      string       `toml:"model"`
+	ID         string       `toml:"id"`
+	State      VersionState `toml:"state"`
+	InputCost  int64        `toml:"input-cost"`  // millionths of a cost unit per prompt token
+	OutputCost int64        `toml:"output-cost"` // millionths of a cost unit per answer token
+}
+
+// Target returns the model and version that v declares.
+func (v *Version) Target() Target { return Target{Model: v.Model, Version: v.ID} }
+
+// Cost returns the price of a call in millionths of a cost unit.
+func (v *Version) Cost(inputTokens, outputTokens int) int64 {
+	return v.InputCost*int64(inputTokens) + v.OutputCost*int64(outputTokens)
+}
+
+// An Allow lets an organisation use a model, some of its versions, a class or a
+// plain service. Exactly one of Model, Class and Service is set.
+type Allow struct {
+	Source       `toml:"-"`
+	Organisation string   `toml:"organisation"`
+	Model        string   `toml:"model"`
+	Versions     []string `toml:"versions"` // empty means every version of Model
+	Class        string   `toml:"class"`
+	Service      string   `toml:"service"`
+}
+
+// A Class names a kind of request and the models that may answer it.
+type Class struct {
+	Source        `toml:"-"`
+	ID            string   `toml:"id"`
+	Models        []string `toml:"models"`         // "model" or "model@version", cheapest first
+	QualityTarget float64  `toml:"quality-target"` // share of answers that must suffice, 0 to 1
+	Priority      Priority `toml:"priority"`       // empty means Interactive
+}
+
+// A Rollout moves sessions of a model from one version to another.
+type Rollout struct {
+	Source        `toml:"-"`
+	Model         string `toml:"model"`
+	From          string `toml:"from"`
+	To            string `toml:"to"`
+	SharesPercent []int  `toml:"shares-percent"` // rising, 1 to 100
+	Step          int    `toml:"step"`           // index into SharesPercent
+}
+
+// Share returns the percentage of new sessions that get the new version.
+func (r *Rollout) Share() int { return r.SharesPercent[r.Step] }
+
+// A FailureDomain holds entry instances and upstreams that fail together.
+type FailureDomain struct {
+	Source `toml:"-"`
+	ID     string   `toml:"id"`
+	State  Presence `toml:"state"`
+}
+
+// An Upstream is one model engine or plain service instance.
+type Upstream struct {
+	Source        `toml:"-"`
+	ID            string   `toml:"id"`
+	FailureDomain string   `toml:"failure-domain"`
+	Address       string   `toml:"address"`       // IP:port
+	Serves        []string `toml:"serves"`        // "model@version"; exactly one of Serves and Service is set
+	Service       string   `toml:"service"`       // the plain service that it runs
+	MaxRequests   int      `toml:"max-requests"`  // most requests at once over all entry instances
+	MaxTokens     int      `toml:"max-tokens"`    // most tokens held at once; 0 means no limit
+	ColdRequests  int      `toml:"cold-requests"` // most requests at once after a start; 0 means 1
+	ChecksFence   bool     `toml:"checks-fence"`  // refuses orders with an old fencing number
+	State         Presence `toml:"state"`         // empty means In
+}
+
+// A Service is a plain service that stands beside the model engines.
+type Service struct {
+	Source `toml:"-"`
+	ID     string `toml:"id"`
+	// RefusesBeforeRunning says that the service's statuses 429 and 503 mean
+	// that it has not run the call.
+	RefusesBeforeRunning bool `toml:"refuses-before-running"`
+}
+
+// A ServiceCall describes the calls of a service under a path.
+type ServiceCall struct {
+	Source     `toml:"-"`
+	Service    string `toml:"service"`
+	Method     string `toml:"method"`
+	Path       string `toml:"path"` // prefix of the path below the service, begins with "/"
+	Idempotent bool   `toml:"idempotent"`
+}
+
+// A Rule is a value of one of the kinds.
+type Rule interface {
+	// Identity names what the rule is about. Two rules with the same identity
+	// in one file are an error.
+	Identity() string
+	source() *Source
+	check(c *checker)
+}
+
+func (s *Source) source() *Source { return s }
+
+// Identity implements Rule.
+func (o *Organisation) Identity() string { return "organisation " + o.ID }
+
+// Identity implements Rule.
+func (m *Model) Identity() string { return "model " + m.ID }
+
+// Identity implements Rule.
+func (v *Version) Identity() string { return "version " + v.Target().String() }
+
+// Identity implements Rule.
+func (a *Allow) Identity() string {
+	switch {
+	case a.Class != "":
+		return fmt.Sprintf("allow %s class %s", a.Organisation, a.Class)
+	case a.Service != "":
+		return fmt.Sprintf("allow %s service %s", a.Organisation, a.Service)
+	}
+	return fmt.Sprintf("allow %s model %s", a.Organisation, a.Model)
+}
+
+// Identity implements Rule.
+func (c *Class) Identity() string { return "class " + c.ID }
+
+// Identity implements Rule.
+func (r *Rollout) Identity() string { return "rollout " + r.Model }
+
+// Identity implements Rule.
+func (d *FailureDomain) Identity() string { return "failure-domain " + d.ID }
+
+// Identity implements Rule.
+func (u *Upstream) Identity() string { return "upstream " + u.ID }
+
+// Identity implements Rule.
+func (s *Service) Identity() string { return "service " + s.ID }
+
+// Identity implements Rule.
+func (c *ServiceCall) Identity() string {
+	return fmt.Sprintf("service-call %s %s %s", c.Service, c.Method, c.Path)
+}
--- /dev/null
+++ b/core/rules/parse.go
@@ -0,0 +1,139 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"banyanyard/core/strict"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// MaxFileBytes bounds the size of a rules file.
+const MaxFileBytes = 16 << 20
+
+// A line holds the one rule of a line; all fields but one are nil.
+type line struct {
+	Organisation  *Organisation  `toml:"organisation"`
+	Model         *Model         `toml:"model"`
+	Version       *Version       `toml:"version"`
+	Allow         *Allow         `toml:"allow"`
+	Class         *Class         `toml:"class"`
+	Rollout       *Rollout       `toml:"rollout"`
+	FailureDomain *FailureDomain `toml:"failure-domain"`
+	Upstream      *Upstream      `toml:"upstream"`
+	Service       *Service       `toml:"service"`
+	ServiceCall   *ServiceCall   `toml:"service-call"`
+}
+
+// rule returns the rule that the line holds, or nil for none.
+func (l *line) rule() Rule {
+	switch {
+	case l.Organisation != nil:
+		return l.Organisation
+	case l.Model != nil:
+		return l.Model
+	case l.Version != nil:
+		return l.Version
+	case l.Allow != nil:
+		return l.Allow
+	case l.Class != nil:
+		return l.Class
+	case l.Rollout != nil:
+		return l.Rollout
+	case l.FailureDomain != nil:
+		return l.FailureDomain
+	case l.Upstream != nil:
+		return l.Upstream
+	case l.Service != nil:
+		return l.Service
+	case l.ServiceCall != nil:
+		return l.ServiceCall
+	}
+	return nil
+}
+
+// Parse reads a rules file and returns its rules, or every problem of it in
+// order of lines.
+func Parse(text string) (*Set, error) {
+	if len(text) > MaxFileBytes {
+		return nil, Problems{{Line: 1, What: fmt.Sprintf("the file is larger than %d bytes", MaxFileBytes), Remedy: "remove rules that are no longer needed"}}
+	}
+	p := &parser{set: newSet(text)}
+	number := 0
+	for raw := range strings.Lines(text) {
+		number++
+		p.line(number, strings.TrimSpace(raw))
+	}
+	c := &checker{set: p.set, problems: p.problems}
+	c.checkAll()
+	if len(c.problems) > 0 {
+		return nil, c.problems.sorted()
+	}
+	p.set.index()
+	return p.set, nil
+}
+
+type parser struct {
+	set      *Set
+	problems Problems
+}
+
+func (p *parser) line(number int, text string) {
+	if text == "" || strings.HasPrefix(text, "#") {
+		return
+	}
+	rule, problem := decodeLine(text)
+	if problem != nil {
+		p.problems = append(p.problems, &strict.Problem{Line: number, Column: problem.Column, What: problem.What, Remedy: problem.Remedy})
+		return
+	}
+	source := rule.source()
+	source.Line = number
+	source.Text = text
+	source.AskedBy = askedBy(text)
+	if source.AskedBy == "" {
+		p.problems = append(p.problems, &strict.Problem{
+			Line:   number,
+			What:   "the rule does not say who asked for it",
+			Remedy: "end the line with a comment that names the person, such as # C. Rossi: ticket 12",
+		})
+	}
+	if first, ok := p.set.byIdentity[rule.Identity()]; ok {
+		p.problems = append(p.problems, &strict.Problem{
+			Line:   number,
+			What:   fmt.Sprintf("%s is already set on line %d", rule.Identity(), first.source().Line),
+			Remedy: "keep one of the two lines",
+		})
+		return
+	}
+	p.set.add(rule)
+}
+
+// decodeLine reads one line. It returns the first problem only, since the
+// others of a line usually follow from it.
+func decodeLine(text string) (Rule, *strict.Problem) {
+	var l line
+	if problems := strict.Decode([]byte(text), &l); len(problems) > 0 {
+		return nil, problems[0]
+	}
+	rule := l.rule()
+	if rule == nil {
+		return nil, &strict.Problem{What: "the line holds no rule", Remedy: "write kind = { … }, for example model = { id = \"tiglio\" }"}
+	}
+	return rule, nil
+}
+
+// askedBy returns the text of the comment that ends a line.
+func askedBy(text string) string {
+	p := unstable.Parser{KeepComments: true}
+	p.Reset([]byte(text))
+	for p.NextExpression() {
+		for n := p.Expression(); n != nil; n = n.Next() {
+			if n.Kind == unstable.Comment {
+				return strings.TrimSpace(strings.TrimLeft(string(n.Data), "#"))
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/fake/engine/engine.go
@@ -0,0 +1,128 @@
+// Package engine is a stand-in for a model engine: chat completions over HTTP
+// with server-sent events, whose answers follow from the prompt alone.
+//
+// It records what it ran, how much it held at once and what was cancelled, so
+// that tests can check the promises from the engine's side. Its switches bring
+// about the faults that engines have.
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Faults are the switches of an Engine. The zero Faults has none.
+type Faults struct {
+	RefuseAll   bool   // answers 503 without running
+	DieAfter    int    // closes the connection after so many pieces; 0 means never
+	SilentAfter int    // sends nothing more after so many pieces; 0 means never
+	ForeignID   bool   // answers with the id of another attempt
+	CrashOn     string // a prompt with this text closes every connection
+}
+
+// An Engine answers chat completions. Set the exported fields before Handler
+// is used.
+type Engine struct {
+	ID         string
+	Pieces     int           // pieces of an answer; 0 means 8
+	FirstToken time.Duration // before the first piece
+	Gap        time.Duration // between pieces
+	// Text returns the answer to a prompt; nil repeats the prompt.
+	Text func(model, prompt string) string
+
+	mu        sync.Mutex
+	faults    Faults         // guarded by mu
+	running   int            // guarded by mu
+	mostHeld  int            // guarded by mu
+	ran       map[string]int // guarded by mu; runs by attempt
+	models    map[string]int // guarded by mu; runs by model
+	cancelled int            // guarded by mu
+	resumed   int            // guarded by mu
+}
+
+// SetFaults replaces the switches.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// A Record is what an engine has seen.
+type Record struct {
+	Running   int
+	MostHeld  int // most requests held at once
+	Ran       int
+	RanTwice  int // attempts that were run more than once
+	Cancelled int
+	Resumed   int
+	ByModel   map[string]int
+}
+
+// Record returns what the engine has seen so far.
+func (e *Engine) Record() Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, ByModel: map[string]int{}}
+	for _, n := range e.ran {
+		r.Ran += n
+		if n > 1 {
+			r.RanTwice++
+		}
+	}
+	for m, n := range e.models {
+		r.ByModel[m] = n
+	}
+	return r
+}
+
+// Handler serves the engine over HTTP.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	return mux
+}
+
+// begin counts a run and returns the switches in force for it. It returns false
+// for a resumption of an attempt that has not run here.
+func (e *Engine) begin(attempt, model string, resume bool) (Faults, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.RefuseAll {
+		return e.faults, true
+	}
+	if resume {
+		if e.ran[attempt] == 0 {
+			return e.faults, false
+		}
+		e.resumed++
+		e.running++
+		return e.faults, true
+	}
+	if e.ran == nil {
+		e.ran = map[string]int{}
+		e.models = map[string]int{}
+	}
+	e.ran[attempt]++
+	e.models[model]++
+	e.running++
+	e.mostHeld = max(e.mostHeld, e.running)
+	return e.faults, true
+}
+
+func (e *Engine) end(cancelled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	if cancelled {
+		e.cancelled++
+	}
+}
+
+func (e *Engine) text(model, prompt string) string {
+	if e.Text != nil {
+		return e.Text(model, prompt)
+	}
+	return fmt.Sprintf("%s: %s", model, prompt)
+}
--- /dev/null
+++ b/io/caller/handler.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"banyanyard/core/refusal"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// A Handler serves callers.
+type Handler struct {
+	router Router
+	limits Limits
+	memory *memory
+	mux    http.Handler
+}
+
+// New returns a handler that passes calls to the router.
+func New(router Router, limits Limits) *Handler {
+	h := &Handler{router: router, limits: limits, memory: newMemory(limits)}
+	r := chi.NewRouter()
+	r.Post("/v1/chat/completions", h.serveCompletion)
+	r.Get("/v1/models", h.serveModels)
+	r.Get("/services/{service}/calls/{key}", h.serveOutcome)
+	r.HandleFunc("/services/{service}/*", h.serveService)
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		writeRefusal(w, refusal.New(refusal.ServiceNotFound, "use /v1/chat/completions, /v1/models or /services/{service}/…", "the path does not exist"))
+	})
+	h.mux = r
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// HeldBytes returns the bytes that are held for callers now.
+func (h *Handler) HeldBytes() int64 { return h.memory.held() }
+
+// identify authenticates a call and names it.
+func (h *Handler) identify(w http.ResponseWriter, r *http.Request) (Request, *refusal.Error) {
+	request := Request{ID: rand.Text()}
+	w.Header().Set(HeaderRequestID, request.ID)
+	set, revision := h.router.Rules()
+	if set == nil {
+		return request, refusal.New(refusal.NotReady, "send the request to another instance", "this instance has no rules yet").After(time.Second)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		request.Organisation = set.Owner(key)
+	}
+	if request.Organisation == nil {
+		return request, refusal.New(refusal.UnknownKey, "send a valid key as Authorization: Bearer KEY", "the key is missing or unknown")
+	}
+	request.Rules = set
+	request.Revision = revision
+	return request, nil
+}
+
+// readBody reads the body within the limit.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(refusal.BodyTooLarge, "send a smaller request", "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	return nil, refusal.New(refusal.BodyIncomplete, "send the request again", "the body ended early (%v)", err)
+}
+
+// withTimeout returns the context with the deadline of the call.
+func (h *Handler) withTimeout(r *http.Request) (context.Context, context.CancelFunc, *refusal.Error) {
+	timeout := h.limits.DefaultTimeout
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		ms, err := strconv.Atoi(v)
+		if err != nil || ms <= 0 {
+			return nil, nil, refusal.New(refusal.BadRequest, "send the timeout in whole milliseconds", "%s %q is not a positive number", HeaderTimeout, v)
+		}
+		timeout = min(time.Duration(ms)*time.Millisecond, h.limits.MaxTimeout)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	return ctx, cancel, nil
+}
--- /dev/null
+++ b/io/caller/services.go
@@ -0,0 +1,106 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"banyanyard/core/once"
+	"banyanyard/core/refusal"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// forwardedHeaders are the headers that a plain service gets from a caller.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match", "If-Modified-Since", "Traceparent", "Tracestate"}
+
+func (h *Handler) serveService(w http.ResponseWriter, r *http.Request) {
+	request, refused := h.identify(w, r)
+	if refused != nil {
+		writeRefusal(w, refused)
+		return
+	}
+	body, refused := h.readBody(w, r)
+	if refused != nil {
+		writeRefusal(w, refused)
+		return
+	}
+	ctx, cancel, refused := h.withTimeout(r)
+	if refused != nil {
+		writeRefusal(w, refused)
+		return
+	}
+	defer cancel()
+	answer, err := h.router.Call(ctx, &ServiceCall{
+		Request:        request,
+		Service:        chi.URLParam(r, "service"),
+		Method:         r.Method,
+		Path:           "/" + chi.URLParam(r, "*"),
+		Query:          r.URL.RawQuery,
+		Header:         pick(r.Header, forwardedHeaders),
+		Body:           body,
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+	})
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	writeServiceAnswer(w, answer, request.Revision)
+}
+
+func pick(h http.Header, names []string) http.Header {
+	picked := http.Header{}
+	for _, name := range names {
+		if values := h.Values(name); len(values) > 0 {
+			picked[name] = values
+		}
+	}
+	return picked
+}
+
+func writeServiceAnswer(w http.ResponseWriter, a *ServiceAnswer, revision int64) {
+	h := w.Header()
+	for name, values := range a.Answer.Header {
+		h[name] = values
+	}
+	h.Set(HeaderUpstream, a.Upstream)
+	h.Set(HeaderRevision, strconv.FormatInt(revision, 10))
+	if a.Replayed {
+		h.Set(HeaderReplayed, "true")
+	}
+	w.WriteHeader(a.Answer.Status)
+	_, _ = w.Write(a.Answer.Body)
+}
+
+// An outcome tells a caller what became of a non-idempotent call.
+type outcome struct {
+	State  once.State `json:"state"`
+	Since  time.Time  `json:"since"`
+	Status int        `json:"status,omitempty"` // of the stored answer
+	Body   string     `json:"body,omitempty"`   // of the stored answer
+}
+
+func (h *Handler) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	request, refused := h.identify(w, r)
+	if refused != nil {
+		writeRefusal(w, refused)
+		return
+	}
+	record, err := h.router.Outcome(r.Context(), request.Organisation.ID, chi.URLParam(r, "service"), chi.URLParam(r, "key"))
+	if err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	if record == nil {
+		writeRefusal(w, refusal.New(refusal.CallNotFound, "send the call", "no call with this key is known"))
+		return
+	}
+	o := outcome{State: record.State, Since: record.Since}
+	if record.Answer != nil {
+		o.Status = record.Answer.Status
+		o.Body = string(record.Answer.Body)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(o)
+}
--- /dev/null
+++ b/io/operator/operator.go
@@ -0,0 +1,65 @@
+// Package operator serves operators: health, readiness, metrics and the status
+// of an instance, on an address of its own.
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// An Instance is what the handler needs of the entry instance.
+type Instance interface {
+	// Ready reports whether the instance should get requests.
+	Ready() bool
+	// Status describes the instance.
+	Status() Status
+	// MetricsHandler serves the metrics.
+	MetricsHandler() http.Handler
+}
+
+// A Status describes one instance.
+type Status struct {
+	Instance       string           `json:"instance"`
+	FailureDomain  string           `json:"failure-domain"`
+	Ready          bool             `json:"ready"`
+	Leaving        bool             `json:"leaving"`
+	Revision       int64            `json:"revision"`
+	PendingCharges int              `json:"pending-charges"`
+	HeldBytes      int64            `json:"held-bytes"`
+	Upstreams      []UpstreamStatus `json:"upstreams"`
+}
+
+// An UpstreamStatus is the instance's view of one upstream.
+type UpstreamStatus struct {
+	ID        string `json:"id"`
+	InService bool   `json:"in-service"`
+	Warm      int    `json:"warm-percent"` // 0 is cold, 100 is warm
+	Requests  int    `json:"requests"`     // held by this instance
+	Limit     int    `json:"limit"`        // of this instance now
+	Reachable bool   `json:"reachable"`
+}
+
+// New returns the handler for operators.
+func New(i Instance) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { serveReady(w, i) })
+	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { serveStatus(w, i) })
+	r.Handle("/metrics", i.MetricsHandler())
+	return r
+}
+
+func serveReady(w http.ResponseWriter, i Instance) {
+	if !i.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func serveStatus(w http.ResponseWriter, i Instance) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(i.Status())
+}
--- /dev/null
+++ b/node/attempt.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"time"
+
+	"banyanyard/core/dispatch"
+	"banyanyard/core/refusal"
+	"banyanyard/core/rules"
+	"banyanyard/io/caller"
+	"banyanyard/io/engine"
+)
+
+// maxResumes bounds how often a broken stream is resumed at its engine.
+const maxResumes = 2
+
+// An attempt is one run of a request at one upstream.
+type attempt struct {
+	run        *completion
+	target     rules.Target
+	ticket     *dispatch.Ticket
+	start      engine.Attempt
+	firstToken time.Duration // 0 until it has arrived
+	delivered  string        // id of the newest event that the caller's buffer took
+}
+
+// whole returns the whole answer of a target.
+func (r *completion) whole(ctx context.Context, t rules.Target) ([]byte, caller.Meta, error) {
+	var body []byte
+	var meta caller.Meta
+	err := r.tryUpstreams(ctx, t, func(ctx context.Context, a *attempt) error {
+		answer, err := a.open(ctx, false)
+		if err != nil {
+			return err
+		}
+		defer answer.Close()
+		body, err = answer.Whole()
+		if err != nil {
+			return err
+		}
+		a.firstToken = time.Since(a.ticket.Granted())
+		meta = a.meta()
+		r.spend(t, answer.Usage())
+		return nil
+	})
+	return body, meta, err
+}
+
+// stream relays the answer of a target to the caller as it arrives.
+func (r *completion) stream(ctx context.Context, t rules.Target) error {
+	return r.tryUpstreams(ctx, t, func(ctx context.Context, a *attempt) error {
+		answer, err := a.open(ctx, true)
+		if err != nil {
+			return err
+		}
+		err = a.relay(answer)
+		answer.Close()
+		for resumes := 0; err != nil && r.begun && resumes < maxResumes; resumes++ {
+			err = a.resume(ctx, err)
+		}
+		if err != nil {
+			return err
+		}
+		r.commit()
+		r.out.Done()
+		return nil
+	})
+}
+
+// tryUpstreams runs f at one upstream after another until it succeeds or the
+// failure can't be retried.
+func (r *completion) tryUpstreams(ctx context.Context, t rules.Target, f func(context.Context, *attempt) error) error {
+	avoid := ""
+	for {
+		a := &attempt{run: r, target: t, ticket: r.ticket(ctx, t, avoid)}
+		if err := r.node.slots.acquire(ctx, a.ticket); err != nil {
+			return err
+		}
+		r.attempts++
+		avoid = a.ticket.Upstream().ID
+		err := f(ctx, a)
+		a.release(ctx, err)
+		if err == nil || r.begun || !r.retry(ctx, err) {
+			return err
+		}
+	}
+}
+
+func (r *completion) ticket(ctx context.Context, t rules.Target, avoid string) *dispatch.Ticket {
+	answer := r.request.MaxTokens
+	if answer == 0 {
+		answer = defaultAnswerTokens
+	}
+	deadline, _ := ctx.Deadline()
+	return &dispatch.Ticket{
+		Organisation: r.request.Organisation.ID,
+		Weight:       r.request.Organisation.Weight,
+		Priority:     r.plan.Priority(),
+		Pool:         dispatch.Pool{Target: t},
+		Tokens:       r.request.Prompt + answer,
+		Deadline:     deadline,
+		Avoid:        avoid,
+	}
+}
+
+// retry decides whether another attempt follows the error, and waits before it.
+func (r *completion) retry(ctx context.Context, err error) bool {
+	if !retryable(err) {
+		return false
+	}
+	if !r.node.retries.allow(r.request.Organisation.ID) {
+		return false
+	}
+	r.node.metrics.retries.WithLabelValues(r.request.Organisation.ID).Inc()
+	pause(ctx, r.node.retries.delay(r.attempts))
+	return ctx.Err() == nil
+}
+
+// retryable reports whether a completion may run again after the error. A
+// completion has no effect outside the engine, so that any broken answer
+// qualifies while nothing of it has reached the caller.
+func retryable(err error) bool {
+	var rejected *engine.RejectedError
+	var refused *refusal.Error
+	return !errors.As(err, &rejected) && !errors.As(err, &refused) &&
+		!errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
+func (a *attempt) open(ctx context.Context, stream bool) (*engine.Answer, error) {
+	body, err := a.run.engineBody(a.target, stream)
+	if err != nil {
+		return nil, err
+	}
+	u := a.ticket.Upstream()
+	timeouts := &a.run.node.settings.Timeouts
+	a.start = engine.Attempt{
+		ID: rand.Text(), Upstream: u.ID, Address: u.Address, Target: a.target, Body: body, Stream: stream,
+		Gap: time.Duration(timeouts.Gap),
+	}
+	if stream {
+		a.start.FirstByte = time.Duration(timeouts.FirstByte)
+	}
+	return a.run.node.engines.Start(ctx, a.start)
+}
+
+func (a *attempt) meta() caller.Meta {
+	return caller.Meta{
+		Target:   a.target,
+		Upstream: a.start.Upstream,
+		Revision: a.run.request.Revision,
+		Moved:    a.run.plan.Moved,
+		Session:  a.run.request.Session,
+	}
+}
+
+// relay passes pieces on until the answer is whole.
+func (a *attempt) relay(answer *engine.Answer) error {
+	r := a.run
+	for {
+		data, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			r.spend(a.target, answer.Usage())
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if a.firstToken == 0 {
+			a.firstToken = time.Since(a.ticket.Granted())
+		}
+		if !r.begun {
+			r.begin(a.meta())
+		}
+		if answer.ReadUsage(data) && !r.request.Usage {
+			continue
+		}
+		if err := r.out.Event(data); err != nil {
+			return err
+		}
+		a.delivered = answer.LastID()
+		r.observeGap()
+	}
+}
+
+func (r *completion) observeGap() {
+	now := time.Now()
+	r.gap.Observe(now.Sub(r.lastAt).Seconds())
+	r.lastAt = now
+}
+
+// resume continues a stream that broke, or that was stopped because the caller
+// did not read, at the same engine. It returns the given error when the stream
+// can't be resumed.
+func (a *attempt) resume(ctx context.Context, broken error) error {
+	if a.delivered == "" || !resumable(broken) {
+		return broken
+	}
+	a.release(ctx, broken)
+	if err := a.run.out.Room(ctx); err != nil {
+		return err
+	}
+	only := a.run.ticket(ctx, a.target, "")
+	only.Only = a.start.Upstream
+	if err := a.run.node.slots.acquire(ctx, only); err != nil {
+		return broken
+	}
+	a.ticket = only
+	again := a.start
+	again.After = a.delivered
+	answer, err := a.run.node.engines.Start(ctx, again)
+	if err != nil {
+		return broken
+	}
+	defer answer.Close()
+	return a.relay(answer)
+}
+
+func resumable(err error) bool {
+	var slow *caller.SlowReaderError
+	var silent *engine.SilentError
+	var brk *engine.BrokenError
+	return errors.As(err, &slow) || errors.As(err, &silent) || errors.As(err, &brk)
+}
+
+// release gives the slot back with what the attempt has shown about the
+// upstream.
+func (a *attempt) release(ctx context.Context, err error) {
+	if a.ticket.Upstream() == nil {
+		return
+	}
+	a.run.node.slots.release(a.ticket, outcome(ctx, err), a.firstToken)
+	a.run.noteRun(err)
+}
+
+func outcome(ctx context.Context, err error) dispatch.Outcome {
+	var unreachable *engine.UnreachableError
+	var refused *engine.RefusedError
+	var rejected *engine.RejectedError
+	var slow *caller.SlowReaderError
+	switch {
+	case err == nil, errors.As(err, &rejected):
+		return dispatch.Answered
+	case ctx.Err() != nil, errors.As(err, &slow):
+		return dispatch.Abandoned
+	case errors.As(err, &unreachable):
+		return dispatch.Unreachable
+	case errors.As(err, &refused):
+		return dispatch.Refused
+	}
+	return dispatch.Broken
+}
--- /dev/null
+++ b/node/complete.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"banyanyard/core/charge"
+	"banyanyard/core/refusal"
+	"banyanyard/core/route"
+	"banyanyard/core/rules"
+	"banyanyard/io/caller"
+	"banyanyard/io/engine"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// defaultAnswerTokens is the size of an answer that is assumed when the caller
+// sets no limit.
+const defaultAnswerTokens = 1024
+
+// A completion is one caller's request while it is answered.
+type completion struct {
+	node     *Node
+	request  *caller.Completion
+	out      caller.Output
+	plan     route.Plan
+	arrived  time.Time
+	begun    bool          // the caller has been told where the answer comes from
+	mayRan   bool          // an attempt may have run
+	spent    charge.Charge // what the attempts have cost so far
+	attempts int
+	lastAt   time.Time // of the newest piece
+	gap      prometheus.Observer
+}
+
+// Complete implements caller.Router.
+func (n *Node) Complete(ctx context.Context, c *caller.Completion, out caller.Output) error {
+	r := &completion{node: n, request: c, out: out, arrived: time.Now()}
+	err := r.run(ctx)
+	r.observe(err)
+	return err
+}
+
+func (r *completion) run(ctx context.Context) error {
+	plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, r.request.Session)
+	if refused != nil {
+		return refused
+	}
+	r.plan = plan
+	r.node.retries.request(r.request.Organisation.ID)
+	if err := r.checkContext(); err != nil {
+		return err
+	}
+	if !r.node.charges.reserve() {
+		return refusal.New(refusal.ChargesPending, "send the request to another instance", "too many charges wait for the platform").After(time.Second)
+	}
+	r.spent = charge.Charge{Request: r.request.ID, Organisation: r.request.Organisation.ID, Class: plan.ClassName()}
+	err := r.answer(ctx)
+	if r.spent.At.IsZero() {
+		r.node.charges.unreserve()
+	}
+	return r.asRefusal(err)
+}
+
+func (r *completion) checkContext() error {
+	model := r.request.Rules.Models[r.plan.Steps[0].Model]
+	if r.request.MaxTokens > model.ContextTokens {
+		return refusal.New(refusal.ContextTooLong, "ask for a shorter answer", "%d tokens are more than the %d that model %q can hold", r.request.MaxTokens, model.ContextTokens, model.ID)
+	}
+	return nil
+}
+
+// answer runs the steps of the plan until one suffices.
+func (r *completion) answer(ctx context.Context) error {
+	targets := r.plan.Targets()
+	last := targets[len(targets)-1]
+	for _, t := range targets[:len(targets)-1] {
+		done, err := r.tryCheaper(ctx, t)
+		if err != nil || done {
+			return err
+		}
+	}
+	if r.request.Stream {
+		return r.stream(ctx, last)
+	}
+	body, meta, err := r.whole(ctx, last)
+	if err != nil {
+		return err
+	}
+	return r.deliver(ctx, body, meta)
+}
+
+// deliver sends a whole answer in the form that the caller asked for.
+func (r *completion) deliver(ctx context.Context, body []byte, meta caller.Meta) error {
+	r.begin(meta)
+	if !r.request.Stream {
+		r.commit()
+		r.out.Whole(body)
+		return nil
+	}
+	for _, piece := range pieces(body, r.request.Usage) {
+		if err := r.push(ctx, piece); err != nil {
+			return err
+		}
+	}
+	r.commit()
+	r.out.Done()
+	return nil
+}
+
+// push sends a piece that no engine waits for, however slowly the caller reads.
+func (r *completion) push(ctx context.Context, piece []byte) error {
+	for r.out.Event(piece) != nil {
+		if err := r.out.Room(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *completion) begin(meta caller.Meta) {
+	now := time.Now()
+	r.begun = true
+	r.lastAt = now
+	r.out.Begin(meta)
+	r.gap = r.node.metrics.gap.WithLabelValues(r.labels()...)
+	r.node.metrics.firstToken.WithLabelValues(r.labels()...).Observe(now.Sub(r.arrived).Seconds())
+}
+
+// commit makes the one charge of the request, before its last byte leaves.
+func (r *completion) commit() {
+	r.spent.At = time.Now().UTC()
+	r.node.charges.add(r.spent)
+	r.node.metrics.spent.WithLabelValues(r.labels()...).Add(float64(r.spent.Cost))
+}
+
+// spend adds the cost of a whole answer of one attempt.
+func (r *completion) spend(t rules.Target, u engine.Usage) {
+	r.spent.Model = t.Model
+	r.spent.Version = t.Version
+	r.spent.InputTokens += u.PromptTokens
+	r.spent.OutputTokens += u.CompletionTokens
+	if v := r.request.Rules.Versions[t]; v != nil {
+		r.spent.Cost += v.Cost(u.PromptTokens, u.CompletionTokens)
+	}
+}
+
+func (r *completion) labels() []string {
+	return []string{r.request.Organisation.ID, r.plan.ClassName()}
+}
+
+func (r *completion) observe(err error) {
+	if r.plan.Len > 0 {
+		r.node.metrics.request.WithLabelValues(r.labels()...).Observe(time.Since(r.arrived).Seconds())
+	}
+	entry := r.node.log.WithField("request", r.request.ID).WithField("organisation", r.request.Organisation.ID).
+		WithField("model", r.spent.Model).WithField("version", r.spent.Version).WithField("attempts", r.attempts)
+	if err == nil {
+		entry.WithDuration(time.Since(r.arrived)).Debug("answered")
+		return
+	}
+	var refused *refusal.Error
+	kind := "left"
+	if errors.As(err, &refused) {
+		kind = string(refused.Kind)
+	}
+	r.node.metrics.refusals.WithLabelValues(r.request.Organisation.ID, kind).Inc()
+	entry.WithField("kind", kind).WithError(err).Info("not answered")
+}
+
+// engineBody returns the request as an engine gets it.
+func (r *completion) engineBody(t rules.Target, stream bool) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(r.request.Fields)+3)
+	for name, value := range r.request.Fields {
+		fields[name] = value
+	}
+	fields["model"] = json.RawMessage(strconv.Quote(t.String()))
+	fields["stream"] = json.RawMessage(strconv.FormatBool(stream))
+	fields["priority"] = json.RawMessage(enginePriority(r.plan.Priority()))
+	delete(fields, "stream_options")
+	if stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	return json.Marshal(fields)
+}
+
+// enginePriority returns the engine's number for a priority; lower goes first.
+func enginePriority(p rules.Priority) string {
+	if p == rules.Batch {
+		return "1"
+	}
+	return "0"
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Label names.
+const (
+	labelOrganisation = "organisation"
+	labelClass        = "class"
+	labelKind         = "kind"
+)
+
+// Buckets of the histograms, in seconds.
+var (
+	requestBuckets    = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1.1, 2, 4, 8, 16, 32, 64, 128}
+	firstTokenBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1.1, 1.5, 2, 4, 8, 16}
+	gapBuckets        = []float64{.001, .0025, .005, .01, .02, .03, .046, .06, .1, .25, .5, 1, 5}
+)
+
+// Metrics are the instance's metrics. Their label values come from the rules
+// alone, so that callers cannot add any.
+type Metrics struct {
+	registry       *prometheus.Registry
+	request        *prometheus.HistogramVec
+	firstToken     *prometheus.HistogramVec
+	gap            *prometheus.HistogramVec
+	refusals       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	spent          *prometheus.CounterVec
+	escalations    *prometheus.CounterVec
+	charges        prometheus.Counter
+	pendingCharges prometheus.Gauge
+	revision       prometheus.Gauge
+	platformErrors prometheus.Counter
+}
+
+func newMetrics() *Metrics {
+	m := &Metrics{
+		registry:       prometheus.NewRegistry(),
+		request:        histogram("request_seconds", "Time from the arrival of a request to the end of its answer.", requestBuckets),
+		firstToken:     histogram("first_token_seconds", "Time from the arrival of a request to the first piece of its answer.", firstTokenBuckets),
+		gap:            histogram("between_tokens_seconds", "Time between two pieces of a stream.", gapBuckets),
+		refusals:       counters("refusals_total", "Requests that were not answered, by kind of refusal.", labelOrganisation, labelKind),
+		retries:        counters("retries_total", "Attempts after the first.", labelOrganisation),
+		spent:          counters("cost_total", "Cost of answers, in millionths of a cost unit.", labelOrganisation, labelClass),
+		escalations:    counters("escalations_total", "Answers of a cheaper model that did not suffice.", labelOrganisation, labelClass),
+		charges:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "charges_total", Help: "Charges made."}),
+		pendingCharges: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "pending_charges", Help: "Charges that are not written to the table."}),
+		revision:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "revision", Help: "Revision of the rules in force."}),
+		platformErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "platform_errors_total", Help: "Looks at the platform that failed."}),
+	}
+	m.registry.MustRegister(m.request, m.firstToken, m.gap, m.refusals, m.retries, m.spent, m.escalations, m.charges, m.pendingCharges, m.revision, m.platformErrors)
+	return m
+}
+
+const namespace = "banyanyard"
+
+func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}
+	return prometheus.NewHistogramVec(opts, []string{labelOrganisation, labelClass})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// MetricsHandler serves the metrics.
+func (n *Node) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,125 @@
+// Package node is one entry instance.
+//
+// One goroutine, control, owns the control state: the configuration in force,
+// the list of instances and what other instances say. It publishes an immutable
+// Snapshot through an atomic pointer. Each request loads the snapshot once and
+// passes it down; what changes with every request, the slots and the unwritten
+// charges, is guarded by a mutex of its own.
+//
+// Invariants:
+//   - the revision of the published snapshot never falls;
+//   - an instance without rules is not ready and answers no request;
+//   - after Shutdown has begun, the instance is not ready, and every request
+//     that it has accepted is answered before it ends.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"banyanyard/core/revision"
+	"banyanyard/core/rules"
+	"banyanyard/io/caller"
+	"banyanyard/io/engine"
+	"banyanyard/io/platform"
+	"banyanyard/io/service"
+	"banyanyard/node/settings"
+
+	"github.com/apex/log"
+)
+
+// A Store is what an instance needs of the platform.
+type Store interface {
+	Get(ctx context.Context, table, key string) (platform.Row, error)
+	Insert(ctx context.Context, table, key string, value any) (string, error)
+	Replace(ctx context.Context, table, key, version string, value any) (string, error)
+	InsertAll(ctx context.Context, table string, rows []platform.Row) error
+	PutObject(ctx context.Context, key string, data []byte) error
+	GetObject(ctx context.Context, key string) ([]byte, error)
+	Instances(ctx context.Context) ([]platform.Instance, error)
+	Rate(ctx context.Context, a platform.Answer) (platform.Rating, error)
+}
+
+// A Snapshot is the control state that requests see. It is never changed.
+type Snapshot struct {
+	Head      revision.Head
+	Rules     *rules.Set
+	Instances []platform.Instance // the platform's list, this instance included
+}
+
+// A Node is one entry instance. Use New.
+type Node struct {
+	settings   settings.Settings
+	id         string // unique for this start of the instance
+	sessionKey []byte
+	store      Store
+	engines    engine.Client
+	services   *service.Client
+	log        log.Interface
+	metrics    *Metrics
+	handler    *caller.Handler
+
+	snapshot atomic.Pointer[Snapshot]
+	leaving  atomic.Bool
+	slots    *slots
+	charges  *charges
+	retries  *retries
+	events   chan event // to the control goroutine
+	// background counts what outlives its request and ends before the
+	// instance does.
+	background sync.WaitGroup
+}
+
+// New returns an instance that has not started.
+func New(s settings.Settings, sessionKey []byte, store Store, logger log.Interface) *Node {
+	n := &Node{
+		settings:   s,
+		id:         s.Instance.ID + "-" + rand.Text()[:8],
+		sessionKey: sessionKey,
+		store:      store,
+		services:   service.New(),
+		metrics:    newMetrics(),
+		events:     make(chan event, eventBacklog),
+	}
+	n.log = logger.WithField("instance", n.id)
+	n.slots = newSlots(n.id, s.Instance.FailureDomain)
+	n.charges = newCharges(s.Limits.PendingCharges, store, n.log, n.metrics)
+	n.retries = newRetries()
+	n.handler = caller.New(n, callerLimits(&s))
+	return n
+}
+
+func callerLimits(s *settings.Settings) caller.Limits {
+	return caller.Limits{
+		BodyBytes:         s.Limits.BodyBytes,
+		DefaultTimeout:    time.Duration(s.Timeouts.Request),
+		MaxTimeout:        time.Duration(s.Timeouts.MaxRequest),
+		WriteTimeout:      time.Duration(s.Timeouts.Write),
+		StreamBufferBytes: s.Limits.StreamBufferBytes,
+		OrganisationBytes: s.Limits.OrganisationBytes,
+		InstanceBytes:     s.Limits.InstanceBytes,
+		StallTimeout:      time.Duration(s.Timeouts.Stall),
+	}
+}
+
+// ID returns the identifier of this start of the instance.
+func (n *Node) ID() string { return n.id }
+
+// Handler serves callers.
+func (n *Node) Handler() http.Handler { return n.handler }
+
+// Rules implements caller.Router.
+func (n *Node) Rules() (*rules.Set, int64) {
+	s := n.snapshot.Load()
+	if s == nil {
+		return nil, 0
+	}
+	return s.Rules, s.Head.Number
+}
+
+// Ready reports whether the instance should get requests.
+func (n *Node) Ready() bool { return n.snapshot.Load() != nil && !n.leaving.Load() }
--- /dev/null
+++ b/node/refuse.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"banyanyard/core/refusal"
+	"banyanyard/io/caller"
+	"banyanyard/io/engine"
+)
+
+// noteRun remembers whether an attempt that ended with err may have run.
+func (r *completion) noteRun(err error) {
+	var unreachable *engine.UnreachableError
+	var refused *engine.RefusedError
+	var rejected *engine.RejectedError
+	if errors.As(err, &unreachable) || errors.As(err, &refused) || errors.As(err, &rejected) {
+		return
+	}
+	r.mayRan = true
+}
+
+// asRefusal turns the error that ended a request into what its caller sees.
+func (r *completion) asRefusal(err error) error {
+	if err == nil {
+		return nil
+	}
+	e := refusalOf(err)
+	if r.mayRan {
+		e = e.Ran()
+	}
+	return e
+}
+
+func refusalOf(err error) *refusal.Error {
+	var own *refusal.Error
+	if errors.As(err, &own) {
+		copied := *own
+		return &copied
+	}
+	var rejected *engine.RejectedError
+	if errors.As(err, &rejected) {
+		return refusal.New(refusal.BadRequest, "correct the request", "the model engine rejected it: %s", rejected.Body)
+	}
+	var unreachable *engine.UnreachableError
+	var refused *engine.RefusedError
+	if errors.As(err, &unreachable) || errors.As(err, &refused) {
+		return refusal.New(refusal.NoUpstream, "send the request again after the time in Retry-After", "no upstream took the request (%v)", err).After(time.Second)
+	}
+	var slow *caller.SlowReaderError
+	if errors.As(err, &slow) {
+		return refusal.New(refusal.UpstreamFailed, "read the answer faster", "the answer was stopped because the caller did not read it")
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return refusal.New(refusal.DeadlineExceeded, "send the request again with a later deadline", "the answer was not whole before the deadline")
+	}
+	return refusal.New(refusal.UpstreamFailed, "send the request again", "the answer could not be completed (%v)", err)
+}
