node: failure tests in virtual time over an in-memory network

Cause: the path had no tests. Change: fake/network carries connections that can be cut, silenced and broken; scenarios of issue-level failures run in synctest bubbles. A refusing upstream is now left alone with backoff, and a resumed stream waits one gap, not the whole first-byte time.

--- a/cmd/banyanyard/demo.go
+++ b/cmd/banyanyard/demo.go
@@ -166,7 +166,7 @@
 		s.Instance = settings.Instance{ID: "entry-" + domain, FailureDomain: domain}
 		s.Listen.Callers = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String()
 		s.Listen.Operators = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(len(demoDomains)+i)).String()
-		n := node.New(s, key, d.platform, logger)
+		n := node.New(node.Config{Settings: s, SessionKey: key, Store: d.platform, Log: logger})
 		l, err := n.Listen()
 		if err != nil {
 			return err
--- a/cmd/banyanyard/serve.go
+++ b/cmd/banyanyard/serve.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	store := &platform.Client{Base: s.Platform.URL, HTTP: &http.Client{}}
-	n := node.New(s, key, store, logger)
+	n := node.New(node.Config{Settings: s, SessionKey: key, Store: store, Log: logger})
 	listeners, err := n.Listen()
 	if err != nil {
 		return err
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -24,13 +24,22 @@
 
 	requests   int // granted now
 	tokensHeld int // granted now
-	failures   int // unreachable in a row
+	failures   int // attempts in a row that failed
 	downUntil  time.Time
 }
 
-// limit returns the requests that this instance may hold now.
+// brokenBeforeDown is the number of broken answers in a row after which an
+// upstream is left alone for a while. One may be the request's own fault.
+const brokenBeforeDown = 2
+
+// limit returns the requests that this instance may hold now. An upstream that
+// has failed gets one request to show whether it has recovered.
 func (u *upstream) limit() int {
-	return u.ramp.Level().Limit(u.coldShare, u.share)
+	limit := u.ramp.Level().Limit(u.coldShare, u.share)
+	if u.failures > 0 {
+		return min(limit, 1)
+	}
+	return limit
 }
 
 // free reports whether the upstream can take the ticket.
@@ -71,14 +80,20 @@
 		u.failures = 0
 		u.downUntil = time.Time{}
 		u.ramp.Answered(epoch, firstToken)
-	case Refused:
-		u.ramp.Cold(epoch)
-	case Unreachable:
+	case Refused, Unreachable:
 		u.ramp.Cold(epoch)
-		u.downUntil = now.Add(min(maxDown, minDown<<min(u.failures, 10)))
-		u.failures++
+		u.failed(now)
 	case Broken:
 		u.ramp.Cold(epoch)
+		if u.failures++; u.failures >= brokenBeforeDown {
+			u.failed(now)
+		}
 	case Abandoned:
 	}
 }
+
+// failed leaves the upstream alone for a time that doubles with each failure.
+func (u *upstream) failed(now time.Time) {
+	u.downUntil = now.Add(min(maxDown, minDown<<min(u.failures, 10)))
+	u.failures++
+}
--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -160,7 +160,7 @@
 		if i > 0 && !wait(request, r.engine.Gap) {
 			return
 		}
-		if r.faults.DieAfter == i+1 {
+		if r.faults.DieAfter == i+1 && !(r.faults.DieOnce && r.after > 0) {
 			panic(http.ErrAbortHandler)
 		}
 		if r.faults.SilentAfter == i+1 {
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -17,6 +17,7 @@
 type Faults struct {
 	RefuseAll   bool   // answers 503 without running
 	DieAfter    int    // closes the connection after so many pieces; 0 means never
+	DieOnce     bool   // lets resumed streams pass DieAfter
 	SilentAfter int    // sends nothing more after so many pieces; 0 means never
 	ForeignID   bool   // answers with the id of another attempt
 	CrashOn     string // a prompt with this text closes every connection
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -86,14 +86,20 @@
 	fresh  *http.Transport
 }
 
-// New returns a client.
-func New() *Client {
-	return &Client{pooled: newTransport(idleTimeout), fresh: newTransport(freshIdle)}
+// A Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a client. A nil dial means TCP.
+func New(dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	}
+	return &Client{pooled: newTransport(dial, idleTimeout), fresh: newTransport(dial, freshIdle)}
 }
 
-func newTransport(idle time.Duration) *http.Transport {
+func newTransport(dial Dial, idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -210,6 +210,7 @@
 	a.ticket = only
 	again := a.start
 	again.After = a.delivered
+	again.FirstByte = again.Gap
 	answer, err := a.run.node.engines.Start(ctx, again)
 	if err != nil {
 		return broken
--- /dev/null
+++ b/node/faults_test.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	enginefake "banyanyard/fake/engine"
+	platformfake "banyanyard/fake/platform"
+	servicefake "banyanyard/fake/service"
+	"banyanyard/io/caller"
+	"banyanyard/io/platform"
+)
+
+func TestCallerLeavesAndTheEngineIsCancelled(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		ctx, leave := context.WithCancel(context.Background())
+		response, err := d.open(ctx, request{body: completionBody("small", "hello", true)})
+		d.is.NoErr(err)
+		leave()
+		_ = response.Body.Close()
+		time.Sleep(time.Second)
+		cancelled := 0
+		for _, e := range d.engines {
+			cancelled += e.Record().Cancelled
+			d.is.Equal(e.Record().Running, 0)
+		}
+		d.is.Equal(cancelled, 1)
+		d.is.Equal(len(d.charges()), 0)
+	})
+}
+
+func TestStopUnderRunningStreamsCutsNone(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		var callers sync.WaitGroup
+		for range 10 {
+			callers.Go(func() {
+				r := d.send(request{body: completionBody("small", "a long answer for a nurse", true)})
+				text, whole := streamText(r.body)
+				d.is.True(whole)
+				d.is.Equal(text, "small@v1: a long answer for a nurse")
+			})
+		}
+		time.Sleep(70 * time.Millisecond)
+		d.nodes[0].stop()
+		callers.Wait()
+		d.is.NoErr(<-d.nodes[0].stopped)
+		d.is.Equal(len(d.charges()), 10) // written before the instance ended
+		d.nodes[0].stopped <- nil
+	})
+}
+
+func TestLateAnswerToAnAbandonedAttemptIsNotDelivered(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for _, e := range d.engines {
+			e.FirstToken = 3 * time.Second
+		}
+		first := d.send(request{body: completionBody("small", "first", false), header: map[string]string{caller.HeaderTimeout: "1000"}})
+		d.is.Equal(first.status, 504)
+		d.is.Equal(first.problem.Run, "may-have-run")
+		second := d.send(request{body: completionBody("small", "second", false)})
+		d.is.Equal(second.status, 200)
+		d.is.True(strings.Contains(second.body, "second") && !strings.Contains(second.body, "first"))
+	})
+}
+
+func TestBodyThatStopsHalfWayIsRefused(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		conn, err := d.network.From("client").DialContext(context.Background(), "tcp", d.nodes[0].address)
+		d.is.NoErr(err)
+		_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 100\r\n\r\n{\"model\":")
+		d.is.NoErr(err)
+		answer, err := io.ReadAll(conn)
+		d.is.NoErr(err)
+		d.is.True(strings.Contains(string(answer), "body-incomplete"))
+		d.is.Equal(d.ran("small"), 0)
+	})
+}
+
+func hold(node int, key, bed string) request {
+	return request{node: node, path: "/services/booking/holds", body: bed, header: map[string]string{caller.HeaderIdempotencyKey: key}}
+}
+
+func TestHoldSentTwiceRunsOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(d *deployment)
+	}{
+		{name: "no fault", setUp: func(*deployment) {}},
+		{name: "answers of the table are lost", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.LoseAnswer) }},
+		{name: "calls of the table are lost", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.LoseCall) }},
+		{name: "the table refuses now and then", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.Refuse) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			scenario(t, func(d *deployment) {
+				tt.setUp(d)
+				d.booking.Delay = 300 * time.Millisecond
+				replies := make([]reply, len(d.nodes))
+				var callers sync.WaitGroup
+				for i := range d.nodes {
+					callers.Go(func() { replies[i] = d.send(hold(i, "key-1", "bed 12")) })
+				}
+				callers.Wait()
+				for _, r := range replies {
+					d.is.Equal(r.status, 201)
+					d.is.Equal(r.body, replies[0].body)
+				}
+				d.is.Equal(d.booking.Holds("bed 12"), 1)
+			})
+		})
+	}
+}
+
+// everyOther brings a fault about at every second call that concerns a
+// non-idempotent call.
+func everyOther(f platformfake.Fault) func(platformfake.Call) platformfake.Fault {
+	var mu sync.Mutex
+	n := 0
+	return func(c platformfake.Call) platformfake.Fault {
+		if c.Table != platform.TableCalls {
+			return platformfake.None
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		if n%2 == 1 {
+			return f
+		}
+		return platformfake.None
+	}
+}
+
+func TestHoldWithTheTableDownHasNotRun(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for _, f := range []platformfake.Fault{platformfake.Refuse, platformfake.LoseCall} {
+			d.platform.Faults = func(c platformfake.Call) platformfake.Fault {
+				if c.Table == platform.TableCalls {
+					return f
+				}
+				return platformfake.None
+			}
+			r := d.send(hold(0, "key-1", "bed 12"))
+			d.is.Equal(r.status, 503)
+			d.is.Equal(r.problem.Run, "not-run")
+			d.is.Equal(d.booking.Holds("bed 12"), 0)
+			d.platform.Faults = nil
+			time.Sleep(5 * time.Second)
+		}
+		// The record of the attempt that was given up doesn't stand in the way.
+		d.is.Equal(d.send(hold(1, "key-1", "bed 12")).status, 201)
+		d.is.Equal(d.booking.Holds("bed 12"), 1)
+	})
+}
+
+func TestHoldWhoseAnswerIsLostStaysUnknown(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.booking.SetFaults(servicefake.Faults{LoseAnswer: true})
+		first := d.send(hold(0, "key-1", "bed 12"))
+		d.is.Equal(first.problem.Run, "may-have-run")
+		d.is.Equal(d.booking.Holds("bed 12"), 1)
+		d.booking.SetFaults(servicefake.Faults{})
+		again := d.send(hold(1, "key-1", "bed 12"))
+		d.is.Equal(again.status, 409)
+		d.is.Equal(again.problem.Run, "may-have-run")
+		d.is.Equal(d.booking.Holds("bed 12"), 1)
+		look := d.send(request{node: 2, method: "GET", path: "/services/booking/calls/key-1"})
+		d.is.True(strings.Contains(look.body, `"running"`))
+	})
+}
+
+func TestHoldRefusedByTheServiceCanBeSentAgain(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.booking.SetFaults(servicefake.Faults{RefuseAll: true})
+		r := d.send(hold(0, "key-1", "bed 12"))
+		d.is.Equal(r.problem.Run, "not-run")
+		d.booking.SetFaults(servicefake.Faults{})
+		time.Sleep(10 * time.Second)
+		d.is.Equal(d.send(hold(1, "key-1", "bed 12")).status, 201)
+	})
+}
+
+func TestKeyOfAnotherCallIsRefused(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.is.Equal(d.send(hold(0, "key-1", "bed 12")).status, 201)
+		r := d.send(hold(0, "key-1", "bed 13"))
+		d.is.Equal(r.status, 422)
+		d.is.Equal(d.booking.Holds("bed 13"), 0)
+	})
+}
+
+func TestNoNewWorkAfterWithdrawal(t *testing.T) {
+	tests := []struct {
+		name     string
+		from, to string
+		left     string // engines that must get nothing
+	}{
+		{name: "version withdrawn", from: `id = "v1", state = "serving", input-cost = 1,`, to: `id = "v1", state = "withdrawn", input-cost = 1,`, left: "small"},
+		{name: "failure domain out", from: `id = "milano-a", state = "in"`, to: `id = "milano-a", state = "out"`, left: "small-milano-a"},
+		{name: "upstream out", from: `id = "small-torino-b",`, to: `id = "small-torino-b", state = "out",`, left: "small-torino-b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			scenario(t, func(d *deployment) {
+				rules := d.rules
+				if tt.left == "small" {
+					// The class can't name a model that nothing serves.
+					rules = strings.Replace(rules, `models = ["small", "large"]`, `models = ["large"]`, 1)
+				}
+				d.apply(strings.Replace(rules, tt.from, tt.to, 1))
+				time.Sleep(3 * time.Second)
+				before := d.ranAt(tt.left)
+				for i := range 30 {
+					d.send(request{node: i % len(d.nodes)})
+				}
+				d.is.Equal(d.ranAt(tt.left), before)
+			})
+		})
+	}
+}
+
+// ranAt counts the runs of engines whose identifier has the prefix.
+func (d *deployment) ranAt(prefix string) int {
+	n := 0
+	for id, e := range d.engines {
+		if strings.HasPrefix(id, prefix) {
+			n += e.Record().Ran
+		}
+	}
+	return n
+}
+
+func TestDeadUpstreamIsServedByOthers(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.engines["small-milano-a"].SetFaults(enginefake.Faults{RefuseAll: true})
+		for range 20 {
+			d.is.Equal(d.send(request{}).status, 200)
+		}
+	})
+}
+
+func TestSlowReaderHoldsNoSlotAndLittleMemory(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for _, e := range d.engines {
+			e.Pieces = 200
+			e.Gap = time.Millisecond
+			e.Text = func(string, string) string { return strings.Repeat("0123456789", 20_000) }
+		}
+		response, err := d.open(context.Background(), request{body: completionBody("small", "hello", true)})
+		d.is.NoErr(err)
+		time.Sleep(20 * time.Second)
+		d.is.True(d.nodes[0].handler.HeldBytes() <= 32<<10)
+		for _, e := range d.engines {
+			d.is.Equal(e.Record().Running, 0)
+		}
+		body, err := io.ReadAll(response.Body)
+		d.is.NoErr(err)
+		text, whole := streamText(string(body))
+		d.is.True(whole)
+		d.is.Equal(len(text), 200_000)
+		d.is.Equal(d.ran("small"), 1)
+	})
+}
--- /dev/null
+++ b/node/harness_test.go
@@ -0,0 +1,291 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	enginefake "banyanyard/fake/engine"
+	"banyanyard/fake/network"
+	platformfake "banyanyard/fake/platform"
+	servicefake "banyanyard/fake/service"
+	"banyanyard/io/platform"
+	"banyanyard/node/settings"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+)
+
+const testKey = "key-of-nurses"
+
+var testDomains = []string{"milano-a", "torino-b", "pavia-c"}
+
+const testRules = `
+failure-domain = { id = "milano-a", state = "in" } # T: test
+failure-domain = { id = "torino-b", state = "in" } # T: test
+failure-domain = { id = "pavia-c", state = "in" } # T: test
+model = { id = "small", context-tokens = 8192 } # T: test
+model = { id = "large", context-tokens = 8192 } # T: test
+version = { model = "small", id = "v1", state = "serving", input-cost = 1, output-cost = 4 } # T: test
+version = { model = "large", id = "v1", state = "serving", input-cost = 10, output-cost = 40 } # T: test
+class = { id = "question", models = ["small", "large"], quality-target = 0.8 } # T: test
+organisation = { id = "nurses", keys = ["%s"] } # T: test
+organisation = { id = "strangers", keys = ["%s"] } # T: test
+allow = { organisation = "nurses", model = "small" } # T: test
+allow = { organisation = "nurses", model = "large" } # T: test
+allow = { organisation = "nurses", class = "question" } # T: test
+allow = { organisation = "nurses", service = "booking" } # T: test
+allow = { organisation = "strangers", model = "small" } # T: test
+service = { id = "booking", refuses-before-running = true } # T: test
+service-call = { service = "booking", method = "POST", path = "/holds", idempotent = false } # T: test
+`
+
+// A deployment is entry instances, upstreams and the platform in one bubble of
+// virtual time.
+type deployment struct {
+	t        *testing.T
+	is       *is.I
+	network  *network.Network
+	platform *platformfake.Platform
+	engines  map[string]*enginefake.Engine // by model and domain, "small-milano-a"
+	booking  *servicefake.Service
+	nodes    []*testNode
+	rules    string
+	revision int64
+}
+
+type testNode struct {
+	*Node
+	address string
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+// scenario runs f with a deployment in virtual time, and stops the deployment
+// afterwards.
+func scenario(t *testing.T, f func(d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := &deployment{
+			t: t, is: is.New(t), network: &network.Network{}, platform: &platformfake.Platform{},
+			engines: map[string]*enginefake.Engine{}, booking: &servicefake.Service{},
+		}
+		d.startUpstreams()
+		d.apply(d.rules)
+		for _, domain := range testDomains {
+			d.startNode(domain)
+		}
+		d.list()
+		time.Sleep(settleTime)
+		defer d.stopAll()
+		f(d)
+	})
+}
+
+// settleTime is enough for a deployment to come up or to notice a change.
+const settleTime = 4 * time.Second
+
+func (d *deployment) startUpstreams() {
+	d.rules = fmt.Sprintf(testRules, hashOf(testKey), hashOf("key-of-strangers"))
+	for i, domain := range testDomains {
+		for j, model := range []string{"small", "large"} {
+			id := model + "-" + domain
+			address := fmt.Sprintf("10.%d.1.%d:8000", i, j)
+			e := &enginefake.Engine{ID: id, FirstToken: 50 * time.Millisecond, Gap: 20 * time.Millisecond}
+			d.engines[id] = e
+			d.serve(address, domain, e.Handler())
+			d.rules += fmt.Sprintf("upstream = { id = %q, failure-domain = %q, address = %q, serves = [\"%s@v1\"], max-requests = 24, cold-requests = 6 } # T: test\n", id, domain, address, model)
+		}
+		address := fmt.Sprintf("10.%d.1.9:8000", i)
+		d.serve(address, domain, d.booking.Handler())
+		d.rules += fmt.Sprintf("upstream = { id = \"booking-%s\", failure-domain = %q, address = %q, service = \"booking\", max-requests = 12, cold-requests = 6 } # T: test\n", domain, domain, address)
+	}
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+func (d *deployment) serve(address, place string, h http.Handler) {
+	l, err := d.network.Listen(address, place)
+	d.is.NoErr(err)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	d.t.Cleanup(func() { _ = s.Close() })
+}
+
+// apply makes text the rules in force.
+func (d *deployment) apply(text string) {
+	head, err := platform.ApplyRules(d.t.Context(), d.platform, d.revision, text, "test")
+	d.is.NoErr(err)
+	d.revision = head.Number
+	d.rules = text
+}
+
+// change replaces a part of the rules.
+func (d *deployment) change(from, to string) {
+	d.is.True(strings.Contains(d.rules, from)) // the rules have the part to change
+	d.apply(strings.Replace(d.rules, from, to, 1))
+}
+
+func (d *deployment) startNode(domain string) *testNode {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: "entry-" + domain, FailureDomain: domain}
+	s.Security.AllowPlainText = true
+	address := fmt.Sprintf("10.9.0.%d:8080", len(d.nodes))
+	n := &testNode{
+		Node: New(Config{
+			Settings: s, SessionKey: bytes.Repeat([]byte("k"), 32), Store: d.platform,
+			Log:  &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+			Dial: d.network.From(domain).DialContext,
+		}),
+		address: address,
+		stopped: make(chan error, 1),
+	}
+	callers, err := d.network.Listen(address, domain)
+	d.is.NoErr(err)
+	operators, err := d.network.Listen(strings.Replace(address, ":8080", ":8082", 1), domain)
+	d.is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go func() { n.stopped <- n.Serve(ctx, Listeners{Callers: callers, Operators: operators}) }()
+	d.nodes = append(d.nodes, n)
+	return n
+}
+
+// list gives the platform's list the running instances.
+func (d *deployment) list() {
+	var instances []platform.Instance
+	for _, n := range d.nodes {
+		instances = append(instances, platform.Instance{ID: n.ID(), Address: n.address, FailureDomain: n.settings.Instance.FailureDomain})
+	}
+	d.platform.SetInstances(instances)
+}
+
+func (d *deployment) stopAll() {
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for _, n := range d.nodes {
+		<-n.stopped
+	}
+}
+
+// A reply is what a caller got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	problem struct {
+		Run    string `json:"run"`
+		Remedy string `json:"remedy"`
+		Type   string `json:"type"`
+	}
+	err error // of reading the body
+}
+
+// A request is what a caller sends. The zero request is a completion by the
+// small model.
+type request struct {
+	node   int
+	key    string // empty means testKey
+	method string // empty means POST
+	path   string // empty means the completions
+	body   string
+	header map[string]string
+}
+
+func completionBody(model, prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, prompt)
+}
+
+// send sends a request and reads its answer.
+func (d *deployment) send(r request) reply {
+	response, err := d.open(context.Background(), r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	got := reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	_ = json.Unmarshal(body, &got.problem)
+	return got
+}
+
+// open sends a request and returns the answer as it begins.
+func (d *deployment) open(ctx context.Context, r request) (*http.Response, error) {
+	if r.key == "" {
+		r.key = testKey
+	}
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.path == "" {
+		r.path = "/v1/chat/completions"
+	}
+	if r.body == "" && r.method == http.MethodPost {
+		r.body = completionBody("small", "hello", false)
+	}
+	n := d.nodes[r.node]
+	q, err := http.NewRequestWithContext(ctx, r.method, "http://"+n.address+r.path, strings.NewReader(r.body))
+	d.is.NoErr(err)
+	q.Header.Set("Authorization", "Bearer "+r.key)
+	for name, value := range r.header {
+		q.Header.Set(name, value)
+	}
+	transport := &http.Transport{DialContext: d.network.From("client").DialContext, DisableKeepAlives: true}
+	return transport.RoundTrip(q)
+}
+
+// charges returns the rows of the charges table.
+func (d *deployment) charges() []platform.Row {
+	rows, err := d.platform.List(d.t.Context(), platform.TableCharges, "")
+	d.is.NoErr(err)
+	return rows
+}
+
+// streamText joins the content of a stream's pieces and reports whether the
+// stream ended as a whole one does.
+func streamText(body string) (text string, whole bool) {
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var p struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &p) == nil && len(p.Choices) > 0 {
+			text += p.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
+// rateSmallBad finds the small model's answers insufficient.
+func rateSmallBad(a platform.Answer) float64 {
+	if a.Model == "small" {
+		return 0.1
+	}
+	return 0.9
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,25 +76,39 @@
 	background sync.WaitGroup
 }
 
+// A Config is what an instance is made from.
+type Config struct {
+	Settings   settings.Settings
+	SessionKey []byte // the same at all instances
+	Store      Store
+	Log        log.Interface
+	// Dial opens connections to upstreams and other instances; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // New returns an instance that has not started.
-func New(s settings.Settings, sessionKey []byte, store Store, logger log.Interface) *Node {
+func New(c Config) *Node {
 	n := &Node{
-		settings:   s,
-		id:         s.Instance.ID + "-" + rand.Text()[:8],
-		sessionKey: sessionKey,
-		store:      store,
-		services:   service.New(),
+		settings:   c.Settings,
+		id:         c.Settings.Instance.ID + "-" + strings.ToLower(rand.Text()[:startIDLength]),
+		sessionKey: c.SessionKey,
+		store:      c.Store,
+		engines:    engine.Client{Dial: c.Dial},
+		services:   service.New(c.Dial),
 		metrics:    newMetrics(),
+		retries:    newRetries(),
 		events:     make(chan event, eventBacklog),
 	}
-	n.log = logger.WithField("instance", n.id)
-	n.slots = newSlots(n.id, s.Instance.FailureDomain)
-	n.charges = newCharges(s.Limits.PendingCharges, store, n.log, n.metrics)
-	n.retries = newRetries()
-	n.handler = caller.New(n, callerLimits(&s))
+	n.log = c.Log.WithField("instance", n.id)
+	n.slots = newSlots(n.id, c.Settings.Instance.FailureDomain)
+	n.charges = newCharges(c.Settings.Limits.PendingCharges, c.Store, n.log, n.metrics)
+	n.handler = caller.New(n, callerLimits(&c.Settings))
 	return n
 }
 
+// startIDLength is the length of the random part of an instance's identifier.
+const startIDLength = 8
+
 func callerLimits(s *settings.Settings) caller.Limits {
 	return caller.Limits{
 		BodyBytes:         s.Limits.BodyBytes,
