--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -93,7 +93,10 @@
 		// An upstream that returns to service has usually been restarted.
 		u.ramp.Restart()
 	}
-	u.rule = rule
+	if u.rule != rule {
+		u.rule = rule
+		u.pools = poolsOf(rule)
+	}
 	u.inService = inService
 	u.share = slot.Deal(rule.ID, rule.MaxRequests, d.members, d.self)
 	u.coldShare = slot.Deal(rule.ID, max(rule.ColdRequests, 1), d.members, d.self)
@@ -113,7 +116,7 @@
 		if !u.inService || u.share == 0 {
 			continue
 		}
-		for _, key := range poolsOf(rule) {
+		for _, key := range u.pools {
 			p := d.pool(key)
 			if rule.FailureDomain == d.domain {
 				p.near = append(p.near, u)
@@ -335,7 +338,7 @@
 	}
 	held := now.Sub(t.granted)
 	p.hold += time.Duration(holdWeight * float64(held-p.hold))
-	for _, key := range poolsOf(u.rule) {
+	for _, key := range u.pools {
 		if p := d.pools[key]; p != nil && p.queue.size > 0 {
 			d.serve(now, p)
 		}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -16,6 +16,7 @@
 // An upstream is this instance's view of one upstream.
 type upstream struct {
 	rule      *rules.Upstream
+	pools     []Pool // that the rule names
 	inService bool
 	share     int // requests of this instance when the upstream is warm
 	coldShare int // requests of this instance when it is cold
--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -42,7 +42,7 @@
 	}
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) {
-		return unknownKeys(missing, reflect.TypeOf(v))
+		return unknownKeys(data, missing, reflect.TypeOf(v))
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
@@ -53,22 +53,35 @@
 	return []*Problem{{Line: 1, What: err.Error(), Remedy: "write valid TOML"}}
 }
 
-func unknownKeys(missing *toml.StrictMissingError, t reflect.Type) []*Problem {
+func unknownKeys(data []byte, missing *toml.StrictMissingError, t reflect.Type) []*Problem {
+	lines := strings.Split(string(data), "\n")
 	var problems []*Problem
 	for i := range missing.Errors {
 		e := &missing.Errors[i]
 		line, column := e.Position()
-		key := e.Key()
+		path := keyPath(lines[line-1], e.Key())
+		last := len(path) - 1
 		problems = append(problems, &Problem{
 			Line:   line,
 			Column: column,
-			What:   fmt.Sprintf("unknown key %q", strings.Join(key, ".")),
-			Remedy: remedy(key[len(key)-1], knownKeys(t, key[:len(key)-1])),
+			What:   fmt.Sprintf("unknown key %q", strings.Join(path, ".")),
+			Remedy: remedy(path[last], knownKeys(t, path[:last])),
 		})
 	}
 	return problems
 }
 
+// keyPath returns the path of a key. The decoder leaves out the key whose
+// inline table the unknown key stands in.
+func keyPath(line string, key []string) []string {
+	first, _, found := strings.Cut(line, "=")
+	first = strings.TrimSpace(first)
+	if !found || len(key) != 1 || first == key[0] {
+		return key
+	}
+	return []string{first, key[0]}
+}
+
 func remedy(key string, known []string) string {
 	if near := Nearest(key, known); near != "" {
 		return fmt.Sprintf("did you mean %q?", near)
