core/slot: shares by agreed epochs, with transfers

Cause: limits were dealt by each instance's own view of the members, so that two views could add up to more than an upstream bears. Change: an epoch, numbered in the table, names the members; shares shrink on adoption and grow when every member acts on the same epoch; members transfer shares to each other. Limits are dealt to a subset of 16 at most.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -24,11 +24,14 @@
 // holdWeight is the weight of the newest sample in the moving average.
 const holdWeight = 0.1
 
+// Shares tells what this instance may hold at each upstream.
+type Shares interface {
+	Of(upstream string) slot.Share
+}
+
 // A Dispatcher hands out this instance's slots.
 type Dispatcher struct {
-	self      string // identifier of this instance
 	domain    string // failure domain of this instance
-	members   []string
 	set       *rules.Set
 	upstreams map[string]*upstream
 	pools     map[Pool]*pool
@@ -39,38 +42,53 @@
 type pool struct {
 	near  []*upstream // of this instance's failure domain, in service
 	far   []*upstream // of the others, in service
+	other []*upstream // in service, but without a share of this instance
 	queue queue
 	hold  time.Duration // moving average of the time that a slot is held
 }
 
 // New returns a Dispatcher without rules. Its choices among equal upstreams
 // depend on the seed alone.
-func New(self, domain string, seed uint64) *Dispatcher {
+func New(domain string, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		self:      self,
 		domain:    domain,
-		members:   []string{self},
 		upstreams: map[string]*upstream{},
 		pools:     map[Pool]*pool{},
 		random:    rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
-// Update replaces the rules and the members among which limits are dealt. It
-// refuses waiting tickets that the new rules forbid, and grants those that the
-// new rules have room for.
-func (d *Dispatcher) Update(now time.Time, set *rules.Set, members []string) {
+// Update replaces the rules and the shares. It refuses waiting tickets that the
+// new rules forbid, and grants those that there is room for.
+func (d *Dispatcher) Update(now time.Time, set *rules.Set, shares Shares) {
 	d.set = set
-	d.members = members
-	d.updateUpstreams()
+	d.updateUpstreams(shares)
 	d.rebuildPools()
 	for _, p := range d.pools {
 		d.refuseForbidden(p)
-		d.serve(now, p)
 	}
+	d.Tick(now)
 }
 
-func (d *Dispatcher) updateUpstreams() {
+// SetShare replaces the share of one upstream.
+func (d *Dispatcher) SetShare(now time.Time, id string, share slot.Share) {
+	u := d.upstreams[id]
+	if u == nil {
+		return
+	}
+	had := u.share.Requests > 0
+	u.share = share
+	if had != (share.Requests > 0) {
+		d.rebuildPools()
+	}
+	for _, key := range u.pools {
+		if p := d.pools[key]; p != nil && p.queue.size > 0 {
+			d.serve(now, p)
+		}
+	}
+}
+
+func (d *Dispatcher) updateUpstreams(shares Shares) {
 	for id, u := range d.upstreams {
 		if d.set.Upstreams[id] == nil {
 			u.inService = false
@@ -84,6 +102,7 @@
 			d.upstreams[rule.ID] = u
 		}
 		d.configure(u, rule)
+		u.share = shares.Of(rule.ID)
 	}
 }
 
@@ -98,40 +117,44 @@
 		u.pools = poolsOf(rule)
 	}
 	u.inService = inService
-	u.share = slot.Deal(rule.ID, rule.MaxRequests, d.members, d.self)
-	u.coldShare = slot.Deal(rule.ID, max(rule.ColdRequests, 1), d.members, d.self)
-	u.tokens = 0
-	if rule.MaxTokens > 0 {
-		u.tokens = max(1, slot.Deal(rule.ID, rule.MaxTokens, d.members, d.self))
-	}
 }
 
 func (d *Dispatcher) rebuildPools() {
 	for _, p := range d.pools {
 		p.near = nil
 		p.far = nil
+		p.other = nil
 	}
 	for _, rule := range d.set.UpstreamsByID() {
 		u := d.upstreams[rule.ID]
-		if !u.inService || u.share == 0 {
+		if !u.inService {
 			continue
 		}
 		for _, key := range u.pools {
-			p := d.pool(key)
-			if rule.FailureDomain == d.domain {
-				p.near = append(p.near, u)
-			} else {
-				p.far = append(p.far, u)
-			}
+			d.pool(key).add(u, rule.FailureDomain == d.domain)
 		}
 	}
 	for key, p := range d.pools {
-		if len(p.near)+len(p.far)+p.queue.size == 0 {
+		if p.upstreams()+p.queue.size == 0 {
 			delete(d.pools, key)
 		}
 	}
 }
 
+func (p *pool) add(u *upstream, near bool) {
+	switch {
+	case u.share.Requests == 0:
+		p.other = append(p.other, u)
+	case near:
+		p.near = append(p.near, u)
+	default:
+		p.far = append(p.far, u)
+	}
+}
+
+// upstreams returns the number of upstreams in service.
+func (p *pool) upstreams() int { return len(p.near) + len(p.far) + len(p.other) }
+
 func poolsOf(u *rules.Upstream) []Pool {
 	if u.Service != "" {
 		return []Pool{{Service: u.Service}}
@@ -174,7 +197,7 @@
 			"version %q takes no new work", t.Pool.Target.String())
 	}
 	p := d.pools[t.Pool]
-	if p == nil || len(p.near)+len(p.far) == 0 {
+	if p == nil || p.upstreams() == 0 {
 		return refusal.New(refusal.NoUpstream,
 			"try again later; operators see why in the rules for its upstreams and failure domains",
 			"no upstream in service has room for %q", poolName(t.Pool)).After(time.Second)
@@ -215,7 +238,7 @@
 // down refuses a ticket when every upstream is unreachable.
 func (p *pool) down(now time.Time, t *Ticket) error {
 	var up time.Time
-	for _, us := range [...][]*upstream{p.near, p.far} {
+	for _, us := range [...][]*upstream{p.near, p.far, p.other} {
 		for _, u := range us {
 			if !now.Before(u.downUntil) {
 				return nil
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -32,6 +32,7 @@
 	OnRefuse func(*Ticket, error)
 
 	upstream *upstream // set while granted
+	held     int       // tokens that it holds at upstream
 	epoch    uint32    // ramp epoch at the grant
 	waiting  bool
 	granted  time.Time // when upstream was set
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -5,6 +5,7 @@
 
 	"banyanyard/core/ramp"
 	"banyanyard/core/rules"
+	"banyanyard/core/slot"
 )
 
 // The bounds of the time that an unreachable upstream is left alone.
@@ -18,9 +19,7 @@
 	rule      *rules.Upstream
 	pools     []Pool // that the rule names
 	inService bool
-	share     int // requests of this instance when the upstream is warm
-	coldShare int // requests of this instance when it is cold
-	tokens    int // tokens of this instance; 0 means no limit
+	share     slot.Share // of this instance
 	ramp      ramp.Ramp
 
 	requests   int // granted now
@@ -36,7 +35,7 @@
 // limit returns the requests that this instance may hold now. An upstream that
 // has failed gets one request to show whether it has recovered.
 func (u *upstream) limit() int {
-	limit := u.ramp.Level().Limit(u.coldShare, u.share)
+	limit := u.ramp.Level().Limit(u.share.Cold, u.share.Requests)
 	if u.failures > 0 {
 		return min(limit, 1)
 	}
@@ -48,11 +47,16 @@
 	if !u.inService || u.requests >= u.limit() || now.Before(u.downUntil) {
 		return false
 	}
-	if u.tokens == 0 || u.tokensHeld+t.Tokens <= u.tokens {
-		return true
+	return u.rule.MaxTokens == 0 || u.tokensHeld+u.tokensOf(t) <= u.share.Tokens
+}
+
+// tokensOf returns the tokens that the ticket holds at this upstream. An
+// estimate beyond what the upstream bears counts as all of it.
+func (u *upstream) tokensOf(t *Ticket) int {
+	if u.rule.MaxTokens == 0 {
+		return t.Tokens
 	}
-	// A request larger than the share runs alone rather than never.
-	return u.tokensHeld == 0 && t.Tokens <= u.rule.MaxTokens
+	return min(t.Tokens, u.rule.MaxTokens)
 }
 
 // load orders upstreams that could take a ticket; lower is better.
@@ -62,7 +66,8 @@
 
 func (u *upstream) take(now time.Time, t *Ticket) {
 	u.requests++
-	u.tokensHeld += t.Tokens
+	t.held = u.tokensOf(t)
+	u.tokensHeld += t.held
 	t.upstream = u
 	t.granted = now
 	t.epoch = u.ramp.Level().Epoch
@@ -71,7 +76,7 @@
 
 func (u *upstream) give(t *Ticket) {
 	u.requests--
-	u.tokensHeld -= t.Tokens
+	u.tokensHeld -= t.held
 }
 
 // observe learns from the outcome of an attempt that began in the epoch.
--- /dev/null
+++ b/core/gossip/gossip.go
@@ -0,0 +1,164 @@
+// Package gossip spreads small keyed values between instances.
+//
+// A Store holds the newest value of each key. With every message to another
+// instance some entries travel along, those that have been sent least first,
+// and each is sent a number of times that grows with the logarithm of the
+// deployment. Two stores that compare digests find what either is missing.
+//
+// A Store is owned by one goroutine.
+//
+// Invariant: the version of a key never falls, and two stores that have seen
+// the same entries hold the same values, whatever the order.
+package gossip
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"math/bits"
+	"slices"
+)
+
+// An Entry is one value.
+type Entry struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data,omitempty"`
+}
+
+// overheadBytes is the size of an entry in a message beside its key and data.
+const overheadBytes = 40
+
+// repeats is how often an entry is sent for each doubling of the deployment.
+const repeats = 3
+
+func (e *Entry) size() int { return len(e.Key) + len(e.Data) + overheadBytes }
+
+// newer orders entries of one key.
+func newer(a, b *Entry) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return bytes.Compare(a.Data, b.Data) > 0
+}
+
+// A Store holds the newest entries. The zero Store is empty and ready to use.
+type Store struct {
+	entries map[string]*held
+	active  []*held // entries that are still being sent
+	sum     uint64  // of the hashes of all keys and versions
+}
+
+type held struct {
+	Entry
+	sent   int
+	active bool
+}
+
+// Put takes an entry and reports whether it was newer than the one held.
+func (s *Store) Put(e Entry) bool {
+	if s.entries == nil {
+		s.entries = map[string]*held{}
+	}
+	h := s.entries[e.Key]
+	if h != nil && !newer(&e, &h.Entry) {
+		return false
+	}
+	if h == nil {
+		h = &held{}
+		s.entries[e.Key] = h
+	} else {
+		s.sum -= hash(&h.Entry)
+	}
+	h.Entry = e
+	h.sent = 0
+	s.sum += hash(&e)
+	if !h.active {
+		h.active = true
+		s.active = append(s.active, h)
+	}
+	return true
+}
+
+// Get returns the entry of a key.
+func (s *Store) Get(key string) (Entry, bool) {
+	h := s.entries[key]
+	if h == nil {
+		return Entry{}, false
+	}
+	return h.Entry, true
+}
+
+// Delete forgets a key. It comes back when another instance still spreads it.
+func (s *Store) Delete(key string) {
+	h := s.entries[key]
+	if h == nil {
+		return
+	}
+	s.sum -= hash(&h.Entry)
+	delete(s.entries, key)
+	h.active = false
+	s.active = slices.DeleteFunc(s.active, func(x *held) bool { return x == h })
+}
+
+// Len returns the number of keys.
+func (s *Store) Len() int { return len(s.entries) }
+
+// Outgoing returns entries for a message of at most maxBytes in a deployment of
+// the given number of instances, and counts them as sent.
+func (s *Store) Outgoing(instances, maxBytes int) []Entry {
+	slices.SortStableFunc(s.active, func(a, b *held) int { return cmp.Compare(a.sent, b.sent) })
+	limit := repeats * bits.Len(uint(instances))
+	var out []Entry
+	for _, h := range s.active {
+		if maxBytes -= h.size(); maxBytes < 0 {
+			break
+		}
+		out = append(out, h.Entry)
+		h.sent++
+		h.active = h.sent < limit
+	}
+	s.active = slices.DeleteFunc(s.active, func(h *held) bool { return !h.active })
+	return out
+}
+
+// Sum identifies the content of the store.
+func (s *Store) Sum() uint64 { return s.sum }
+
+// Digest returns the version of every key.
+func (s *Store) Digest() map[string]uint64 {
+	digest := make(map[string]uint64, len(s.entries))
+	for key, h := range s.entries {
+		digest[key] = h.Version
+	}
+	return digest
+}
+
+// Compare returns the entries that are newer than a digest, and the keys of
+// which the digest has newer ones, both sorted by key.
+func (s *Store) Compare(digest map[string]uint64) (missing []Entry, wanted []string) {
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if v, ok := digest[key]; !ok || v < s.entries[key].Version {
+			missing = append(missing, s.entries[key].Entry)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(digest)) {
+		if h := s.entries[key]; h == nil || h.Version < digest[key] {
+			wanted = append(wanted, key)
+		}
+	}
+	return missing, wanted
+}
+
+func hash(e *Entry) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(e.Key))
+	var version [8]byte
+	for i := range version {
+		version[i] = byte(e.Version >> (8 * i))
+	}
+	_, _ = h.Write(version[:])
+	return h.Sum64()
+}
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -1,37 +1,79 @@
-// Package slot deals an upstream's limit to the entry instances.
+// Package slot deals the upstreams' limits to the entry instances.
 //
-// Every instance computes the same deal from the same list of members, without
-// messages.
+// The limit of an upstream is dealt to a subset of the instances, chosen by
+// rendezvous hashing: half of it from the upstream's own failure domain, so
+// that a domain which is cut off can use its own upstreams, and the rest from
+// everywhere. Every instance computes the same deal from the same members,
+// without messages. Shares then follows one instance's shares through changes
+// of membership and transfers.
 //
 // Invariant: for one list of members the shares of an upstream add up to its
 // limit.
 package slot
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
 
-// Deal returns how many of the upstream's limit belong to self. Members that
-// rank higher in the rendezvous hash of the upstream get the remainder. An
-// instance that is not a member gets none.
-func Deal(upstream string, limit int, members []string, self string) int {
-	rank, found := 0, false
-	own := score(upstream, self)
+	"github.com/cespare/xxhash/v2"
+)
+
+// subsetSize is the most members among which one limit is dealt.
+const subsetSize = 16
+
+// A Member is an instance to which limits are dealt.
+type Member struct {
+	ID            string `json:"id"` // of one start of the instance
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failure-domain"`
+}
+
+// Subset returns the members among which an upstream's limit is dealt, in the
+// order in which they get the remainder.
+func Subset(upstream, domain string, members []Member) []Member {
+	type ranked struct {
+		Member
+		score uint64
+	}
+	var near, far []ranked
 	for _, m := range members {
-		if m == self {
-			found = true
-			continue
+		r := ranked{m, score(upstream, m.ID)}
+		if m.FailureDomain == domain {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
 		}
-		if s := score(upstream, m); s > own || s == own && m < self {
-			rank++
+	}
+	order := func(a, b ranked) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
 		}
+		return cmp.Compare(a.ID, b.ID)
+	}
+	slices.SortFunc(near, order)
+	slices.SortFunc(far, order)
+	n := min(subsetSize, len(members))
+	nearCount := min(len(near), max(n/2, n-len(far)))
+	subset := make([]Member, 0, n)
+	for _, r := range near[:nearCount] {
+		subset = append(subset, r.Member)
+	}
+	for _, r := range far[:n-nearCount] {
+		subset = append(subset, r.Member)
 	}
-	if !found {
+	return subset
+}
+
+// Part returns the part of a limit that the member at a rank gets, among n.
+func Part(limit, rank, n int) int {
+	if rank < 0 || rank >= n {
 		return 0
 	}
-	share := limit / len(members)
-	if rank < limit%len(members) {
-		share++
+	part := limit / n
+	if rank < limit%n {
+		part++
 	}
-	return share
+	return part
 }
 
 func score(upstream, member string) uint64 {
