node: membership, shared slots, charge copies and rules between instances

Cause: instances knew each other only by the platform's list, dealt limits by it, and lost unwritten charges with their process. Change: io/peer (jsonrpc2), core/member (SWIM-like detector), core/gossip; slots follow the agreed epoch and are lent on need; two other instances hold each charge before the last byte leaves; rules travel as patches in gossip and whole from the object store or another instance.

--- a/cmd/banyanyard/demo.go
+++ b/cmd/banyanyard/demo.go
@@ -166,6 +166,7 @@
 		s.Instance = settings.Instance{ID: "entry-" + domain, FailureDomain: domain}
 		s.Listen.Callers = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String()
 		s.Listen.Operators = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(len(demoDomains)+i)).String()
+		s.Listen.Peers = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(2*len(demoDomains)+i)).String()
 		n := node.New(node.Config{Settings: s, SessionKey: key, Store: d.platform, Log: logger})
 		l, err := n.Listen()
 		if err != nil {
@@ -173,7 +174,7 @@
 		}
 		d.nodes = append(d.nodes, n)
 		d.listeners = append(d.listeners, l)
-		d.instances = append(d.instances, platform.Instance{ID: n.ID(), FailureDomain: domain, Address: s.Listen.Callers})
+		d.instances = append(d.instances, platform.Instance{ID: s.Instance.ID, FailureDomain: domain, Address: s.Listen.Peers})
 	}
 	return nil
 }
--- a/core/charge/charge.go
+++ b/core/charge/charge.go
@@ -79,6 +79,15 @@
 	return n
 }
 
+// AddAll keeps charges that another instance made, also beyond the capacity,
+// since nothing else would keep them.
+func (o *Outbox) AddAll(charges []Charge) {
+	for _, c := range charges {
+		o.waiting = append(o.waiting, Numbered{Sequence: o.next, Charge: c})
+		o.next++
+	}
+}
+
 // Len returns the number of unwritten charges.
 func (o *Outbox) Len() int { return len(o.waiting) + len(o.writing) }
 
--- a/core/charge/charge_test.go
+++ b/core/charge/charge_test.go
@@ -45,10 +45,7 @@
 			"write with lost answer": func(*rapid.T) { write(owner.Batch()) },
 			"failed write":           func(*rapid.T) { owner.Batch() },
 			"owner dies": func(*rapid.T) {
-				for _, c := range custody.Take("owner") {
-					custodian.Reserve()
-					custodian.Add(c)
-				}
+				custodian.AddAll(custody.Take("owner"))
 				owner = New(1000)
 			},
 			"": func(t *rapid.T) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -81,11 +81,7 @@
 	if had != (share.Requests > 0) {
 		d.rebuildPools()
 	}
-	for _, key := range u.pools {
-		if p := d.pools[key]; p != nil && p.queue.size > 0 {
-			d.serve(now, p)
-		}
-	}
+	d.serveUpstream(now, u)
 }
 
 func (d *Dispatcher) updateUpstreams(shares Shares) {
@@ -361,11 +357,7 @@
 	}
 	held := now.Sub(t.granted)
 	p.hold += time.Duration(holdWeight * float64(held-p.hold))
-	for _, key := range u.pools {
-		if p := d.pools[key]; p != nil && p.queue.size > 0 {
-			d.serve(now, p)
-		}
-	}
+	d.serveUpstream(now, u)
 }
 
 // Cancel ends a ticket that still waits. It reports whether it did; a ticket
@@ -431,22 +423,30 @@
 	return views
 }
 
-// Merge takes the levels of another instance into account.
-func (d *Dispatcher) Merge(now time.Time, levels map[string]ramp.Level) {
-	for id, level := range levels {
-		if u := d.upstreams[id]; u != nil {
-			u.ramp.Merge(level)
-		}
+// Levels returns the ramp level of every upstream.
+func (d *Dispatcher) Levels() map[string]ramp.Level {
+	levels := make(map[string]ramp.Level, len(d.upstreams))
+	for id, u := range d.upstreams {
+		levels[id] = u.ramp.Level()
 	}
-	d.Tick(now)
+	return levels
 }
 
-// Held returns the requests and tokens that this instance holds at an
-// upstream.
-func (d *Dispatcher) Held(upstreamID string) (requests, tokens int) {
-	u := d.upstreams[upstreamID]
+// Merge takes another instance's level of an upstream into account.
+func (d *Dispatcher) Merge(now time.Time, id string, level ramp.Level) {
+	u := d.upstreams[id]
 	if u == nil {
-		return 0, 0
+		return
+	}
+	u.ramp.Merge(level)
+	d.serveUpstream(now, u)
+}
+
+// serveUpstream grants waiting tickets what an upstream has room for.
+func (d *Dispatcher) serveUpstream(now time.Time, u *upstream) {
+	for _, key := range u.pools {
+		if p := d.pools[key]; p != nil && p.queue.size > 0 {
+			d.serve(now, p)
+		}
 	}
-	return u.requests, u.tokensHeld
 }
--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -8,9 +8,13 @@
 package revision
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"slices"
 	"time"
+
+	"banyanyard/core/rules"
 )
 
 // A Head names one accepted configuration.
@@ -21,6 +25,35 @@
 	By      string    `json:"by"`     // who applied it
 	Applied time.Time `json:"applied"`
 	Recent  []string  `json:"recent"` // Apply of the newest heads before this one, newest first
+	// Patch leads from the configuration before this one; nil where it would
+	// be large.
+	Patch *rules.Patch `json:"patch,omitempty"`
+}
+
+// maxPatchBytes bounds the patch that travels with a head.
+const maxPatchBytes = 1500
+
+// ObjectKey names the object that holds a text.
+func ObjectKey(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return "rules-" + hex.EncodeToString(sum[:])
+}
+
+// SetPatch adds the patch from the text before, where it is small.
+func (h *Head) SetPatch(before, text string) {
+	if p := rules.NewPatch(before, text); p.Size() <= maxPatchBytes {
+		h.Patch = &p
+	}
+}
+
+// Text returns the text of the head by its patch, given the text of the head
+// before it. It returns false when the whole text has to be read.
+func (h *Head) Text(before string) (string, bool) {
+	if h.Patch == nil {
+		return "", false
+	}
+	text, err := h.Patch.Apply(before)
+	return text, err == nil && ObjectKey(text) == h.Object
 }
 
 // maxRecent bounds Head.Recent.
--- /dev/null
+++ b/core/rules/patch_test.go
@@ -0,0 +1,28 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestPatchLeadsFromAnyTextToAnyOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 8)
+		from := strings.Join(lines.Draw(t, "from"), "\n")
+		to := strings.Join(lines.Draw(t, "to"), "\n")
+		p := NewPatch(from, to)
+		got, err := p.Apply(from)
+		if err != nil || got != to {
+			t.Fatalf("the patch leads to %q (%v)", got, err)
+		}
+	})
+}
+
+func TestPatchOfAnotherTextIsRefused(t *testing.T) {
+	p := NewPatch("a\nb\nc\nd", "a\nb\nx\nc\nd")
+	if _, err := p.Apply("a"); err == nil {
+		t.Fatal("applied to a text that is too short")
+	}
+}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -55,8 +55,8 @@
 // An Instance is an entry of the list of live and leaving instances. The list
 // lags behind the truth.
 type Instance struct {
-	ID            string `json:"id"` // unique for each start of an instance
-	Address       string `json:"address"`
+	ID            string `json:"id"`      // instance.id in the instance's settings
+	Address       string `json:"address"` // IP:port for other instances
 	FailureDomain string `json:"failure-domain"`
 	Leaving       bool   `json:"leaving"`
 }
--- a/io/platform/rules.go
+++ b/io/platform/rules.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,6 +17,7 @@
 	TableCalls    = "calls"
 	TableCharges  = "charges"
 	TableSessions = "sessions"
+	TableSlots    = "slots"
 )
 
 // headKey is the key of the one row of TableRules.
@@ -73,9 +72,8 @@
 // returns a revision.StaleError when another configuration was accepted since,
 // and an ApplyUnknownError when the context ends before the outcome is known.
 func ApplyRules(ctx context.Context, t ruleTable, from int64, text, by string) (revision.Head, error) {
-	sum := sha256.Sum256([]byte(text))
 	head := revision.Head{
-		Object:  "rules-" + hex.EncodeToString(sum[:]),
+		Object:  revision.ObjectKey(text),
 		Apply:   rand.Text(),
 		By:      by,
 		Applied: time.Now().UTC(),
@@ -91,6 +89,9 @@
 		return current, &revision.StaleError{Have: current.Number, Offered: from + 1}
 	}
 	head = current.Follow(head)
+	if before, err := ReadRules(ctx, t, current); err == nil {
+		head.SetPatch(before, text)
+	}
 	return head, writeHead(ctx, t, head, version)
 }
 
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -64,7 +64,7 @@
 		if err != nil {
 			return err
 		}
-		r.commit()
+		r.commit(ctx)
 		r.out.Done()
 		return nil
 	})
--- a/node/charges.go
+++ b/node/charges.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	"banyanyard/core/charge"
+	"banyanyard/core/member"
+	"banyanyard/io/peer"
 	"banyanyard/io/platform"
-
-	"github.com/apex/log"
 )
 
 const (
@@ -18,27 +19,28 @@
 	chargeInterval = 2 * time.Second
 	// chargeTimeout bounds one write of charges.
 	chargeTimeout = 5 * time.Second
+	// copies is the number of other instances that hold a charge before the
+	// last byte of its answer leaves.
+	copies = 2
+	// holdTimeout bounds the wait for one copy.
+	holdTimeout = 300 * time.Millisecond
 )
 
-// A chargeTable is what writing charges needs of the platform.
-type chargeTable interface {
-	InsertAll(ctx context.Context, table string, rows []platform.Row) error
-}
-
-// charges writes the outbox to the table.
+// charges writes the outbox to the table, has other instances hold copies, and
+// holds theirs.
 type charges struct {
-	table   chargeTable
-	log     log.Interface
-	metrics *Metrics
+	node *Node
 
-	mu     sync.Mutex
-	outbox *charge.Outbox // guarded by mu
+	mu         sync.Mutex
+	outbox     *charge.Outbox  // guarded by mu
+	custody    charge.Custody  // guarded by mu
+	custodians []member.Status // guarded by mu; that hold this instance's charges
 
 	writing sync.Mutex // held during a write, so that batches are written one by one
 }
 
-func newCharges(capacity int, table chargeTable, logger log.Interface, metrics *Metrics) *charges {
-	return &charges{table: table, log: logger, metrics: metrics, outbox: charge.New(capacity)}
+func newCharges(n *Node) *charges {
+	return &charges{node: n, outbox: charge.New(n.settings.Limits.PendingCharges)}
 }
 
 func (c *charges) reserve() bool {
@@ -53,14 +55,84 @@
 	c.outbox.Unreserve()
 }
 
-// add keeps a charge whose room was reserved.
-func (c *charges) add(ch charge.Charge) charge.Numbered {
+// commit keeps a charge whose room was reserved, and returns when other
+// instances hold copies or none can be reached.
+func (c *charges) commit(ctx context.Context, ch charge.Charge) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.metrics.charges.Inc()
 	n := c.outbox.Add(ch)
-	c.metrics.pendingCharges.Set(float64(c.outbox.Len()))
-	return n
+	pending := c.outbox.Len()
+	custodians := c.custodians
+	c.mu.Unlock()
+	c.node.metrics.charges.Inc()
+	c.node.metrics.pendingCharges.Set(float64(pending))
+	c.hold(ctx, custodians, []charge.Numbered{n})
+}
+
+// hold sends copies to the custodians at the same time.
+func (c *charges) hold(ctx context.Context, custodians []member.Status, numbered []charge.Numbered) {
+	if len(numbered) == 0 {
+		return
+	}
+	// A caller that has left still owes its charge.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
+	defer cancel()
+	var held sync.WaitGroup
+	for _, m := range custodians {
+		held.Go(func() {
+			if err := c.node.peers.Hold(ctx, m.Address, peer.Hold{Owner: c.node.identity.ID, Charges: numbered}); err != nil {
+				c.node.log.WithError(err).WithField("member", m.ID).Warn("a member could not hold a copy of a charge")
+			}
+		})
+	}
+	held.Wait()
+}
+
+// membersChanged chooses the custodians anew and gives new ones everything that
+// is not written.
+func (c *charges) membersChanged(m *members) {
+	chosen := m.custodians(copies)
+	c.mu.Lock()
+	old := c.custodians
+	c.custodians = chosen
+	pending := c.outbox.All()
+	c.mu.Unlock()
+	var added []member.Status
+	for _, m := range chosen {
+		if !slices.ContainsFunc(old, func(o member.Status) bool { return o.ID == m.ID }) {
+			added = append(added, m)
+		}
+	}
+	if len(added) > 0 && len(pending) > 0 {
+		go c.hold(context.Background(), added, pending)
+	}
+}
+
+// takeOver makes the charges of an instance that is gone this instance's own.
+// If it still runs, both write the same rows, which count once.
+func (c *charges) takeOver(owner string) {
+	c.mu.Lock()
+	taken := c.custody.Take(owner)
+	c.outbox.AddAll(taken)
+	c.mu.Unlock()
+	if len(taken) > 0 {
+		c.node.log.WithField("member", owner).WithField("charges", len(taken)).Warn("charges of a member that is gone are taken over")
+	}
+}
+
+// Hold implements peer.Handler.
+func (p peerHandler) Hold(_ context.Context, h peer.Hold) (peer.Done, error) {
+	p.charges.mu.Lock()
+	defer p.charges.mu.Unlock()
+	p.charges.custody.Hold(h.Owner, h.Charges)
+	return peer.Done{}, nil
+}
+
+// Release implements peer.Handler.
+func (p peerHandler) Release(_ context.Context, r peer.Release) (peer.Done, error) {
+	p.charges.mu.Lock()
+	defer p.charges.mu.Unlock()
+	p.charges.custody.Release(r.Owner, r.UpTo)
+	return peer.Done{}, nil
 }
 
 // run writes charges until the context ends.
@@ -76,16 +148,18 @@
 func (c *charges) flush(ctx context.Context) bool {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	var upTo uint64
+	defer func() { c.release(ctx, upTo) }()
 	for {
 		batch := c.batch()
 		if len(batch) == 0 {
 			return true
 		}
 		if err := c.write(ctx, batch); err != nil {
-			c.log.WithError(err).WithField("charges", len(batch)).Warn("charges could not be written and are kept")
+			c.node.log.WithError(err).WithField("charges", len(batch)).Warn("charges could not be written and are kept")
 			return false
 		}
-		c.written()
+		upTo = c.written()
 	}
 }
 
@@ -95,11 +169,28 @@
 	return c.outbox.Batch()
 }
 
-func (c *charges) written() {
+func (c *charges) written() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outbox.Written()
-	c.metrics.pendingCharges.Set(float64(c.outbox.Len()))
+	upTo := c.outbox.Written()
+	c.node.metrics.pendingCharges.Set(float64(c.outbox.Len()))
+	return upTo
+}
+
+// release tells the custodians what they need not hold any longer.
+func (c *charges) release(ctx context.Context, upTo uint64) {
+	if upTo == 0 {
+		return
+	}
+	c.mu.Lock()
+	custodians := c.custodians
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	for _, m := range custodians {
+		// A custodian that misses it writes the rows again, which has no effect.
+		_ = c.node.peers.Release(ctx, m.Address, peer.Release{Owner: c.node.identity.ID, UpTo: upTo})
+	}
 }
 
 // write inserts a batch. Repeating it is safe, since rows that exist stay as
@@ -115,5 +206,5 @@
 		}
 		rows = append(rows, platform.Row{Key: n.Charge.Request, Value: value})
 	}
-	return c.table.InsertAll(ctx, platform.TableCharges, rows)
+	return c.node.store.InsertAll(ctx, platform.TableCharges, rows)
 }
--- a/node/complete.go
+++ b/node/complete.go
@@ -97,7 +97,7 @@
 func (r *completion) deliver(ctx context.Context, body []byte, meta caller.Meta) error {
 	r.begin(meta)
 	if !r.request.Stream {
-		r.commit()
+		r.commit(ctx)
 		r.out.Whole(body)
 		return nil
 	}
@@ -106,7 +106,7 @@
 			return err
 		}
 	}
-	r.commit()
+	r.commit(ctx)
 	r.out.Done()
 	return nil
 }
@@ -131,9 +131,9 @@
 }
 
 // commit makes the one charge of the request, before its last byte leaves.
-func (r *completion) commit() {
+func (r *completion) commit(ctx context.Context) {
 	r.spent.At = time.Now().UTC()
-	r.node.charges.add(r.spent)
+	r.node.charges.commit(ctx, r.spent)
 	r.node.metrics.spent.WithLabelValues(r.labels()...).Add(float64(r.spent.Cost))
 }
 
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/core/revision"
+	"banyanyard/core/rules"
+	"banyanyard/io/peer"
+	"banyanyard/io/platform"
+)
+
+const (
+	// pollJitter is the share of the poll interval that varies at random, so
+	// that instances don't ask at the same moment.
+	pollJitter = 0.2
+	// membersPerInterval is the number of members from which on the poll
+	// interval grows, so that the platform's reads stay bounded.
+	membersPerInterval = 40
+)
+
+// rulesRead says that a configuration was read and found valid.
+type rulesRead struct {
+	head revision.Head
+	set  *rules.Set
+}
+
+func (e rulesRead) apply(c *control) {
+	c.fetching = 0
+	if err := c.current.Take(e.head); err != nil {
+		return
+	}
+	c.rules = e.set
+	c.shares.SetRules(e.set)
+	if data, err := json.Marshal(e.head); err == nil {
+		c.gossip.Put(gossip.Entry{Key: keyHead, Version: uint64(e.head.Number), Data: data})
+	}
+	c.publish()
+	c.keepEpoch(time.Now())
+	c.node.log.WithField("revision", e.head.Number).WithField("by", e.head.By).Info("rules in force")
+}
+
+// rulesFailed says that a configuration could not be read.
+type rulesFailed struct{ head revision.Head }
+
+func (rulesFailed) apply(c *control) { c.fetching = 0 }
+
+// headRead is the head in the platform's table.
+type headRead struct{ head revision.Head }
+
+func (e headRead) apply(c *control) { c.fetch(e.head) }
+
+// fetch reads a configuration that is newer than the one in force, one at a
+// time. A head that is passed over comes again with the next poll or sync.
+func (c *control) fetch(head revision.Head) {
+	if !c.current.Newer(head) || c.fetching >= head.Number {
+		return
+	}
+	c.fetching = head.Number
+	before := ""
+	if c.rules != nil && c.current.Head().Number == head.Number-1 {
+		before = c.rules.Text
+	}
+	go c.node.fetchRules(c.ctx, head, before)
+}
+
+// fetchRules reads the text of a head: by its patch, from the object store, or
+// from another instance.
+func (n *Node) fetchRules(ctx context.Context, head revision.Head, before string) {
+	text, ok := head.Text(before)
+	if !ok {
+		head, text, ok = n.readText(ctx, head)
+	}
+	if !ok {
+		n.send(ctx, rulesFailed{head})
+		return
+	}
+	set, err := rules.Parse(text)
+	if err != nil {
+		n.log.WithError(err).WithField("revision", head.Number).Error("the accepted rules are not valid for this build; upgrade the instance")
+		n.send(ctx, rulesFailed{head})
+		return
+	}
+	n.send(ctx, rulesRead{head: head, set: set})
+}
+
+func (n *Node) readText(ctx context.Context, head revision.Head) (revision.Head, string, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Platform.Timeout))
+	defer cancel()
+	text, err := platform.ReadRules(callCtx, n.store, head)
+	if err == nil {
+		return head, text, true
+	}
+	for _, address := range n.members.Load().addresses(asksPerNeed) {
+		callCtx, cancel := context.WithTimeout(ctx, 4*peerTimeout)
+		result, err := n.peers.Rules(callCtx, address, peer.RulesQuery{Newer: head.Number - 1})
+		cancel()
+		if err == nil && result.Head.Number >= head.Number && revision.ObjectKey(result.Text) == result.Head.Object {
+			return result.Head, result.Text, true
+		}
+	}
+	return head, "", false
+}
+
+// addresses returns the addresses of up to n random live members.
+func (m *members) addresses(n int) []string {
+	if m == nil {
+		return nil
+	}
+	var addresses []string
+	for _, s := range m.live {
+		addresses = append(addresses, s.Address)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
+// Rules implements peer.Handler.
+func (p peerHandler) Rules(_ context.Context, q peer.RulesQuery) (peer.RulesResult, error) {
+	s := p.snapshot.Load()
+	if s == nil || s.Head.Number <= q.Newer {
+		return peer.RulesResult{}, nil
+	}
+	return peer.RulesResult{Head: s.Head, Text: s.Rules.Text}, nil
+}
+
+// instancesRead is a new list of instances.
+type instancesRead struct{ instances []platform.Instance }
+
+func (e instancesRead) apply(c *control) {
+	seeds := make([]member.Seed, 0, len(e.instances))
+	for _, i := range e.instances {
+		seeds = append(seeds, member.Seed{Instance: i.ID, Address: i.Address})
+	}
+	c.detector.Seed(seeds)
+	c.listed = len(seeds) > 0
+}
+
+// poll looks at the platform until the context ends.
+func (n *Node) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.pollOnce(ctx)
+		pause(ctx, n.pollInterval())
+	}
+}
+
+// pollInterval grows with the deployment.
+func (n *Node) pollInterval() time.Duration {
+	interval := float64(n.settings.Platform.PollInterval)
+	if m := n.members.Load(); m != nil {
+		interval *= max(1, float64(len(m.live))/membersPerInterval)
+	}
+	return time.Duration(interval * (1 - pollJitter*rand.Float64()))
+}
+
+func (n *Node) pollOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Platform.Timeout))
+	defer cancel()
+	instances, listErr := n.store.Instances(callCtx)
+	if listErr == nil {
+		n.send(ctx, instancesRead{instances})
+	}
+	head, _, headErr := platform.ReadHead(callCtx, n.store)
+	if headErr == nil {
+		n.send(ctx, headRead{head})
+	}
+	epoch, version, epochErr := n.readEpoch(callCtx)
+	if epochErr == nil {
+		n.send(ctx, epochRead{epoch: epoch, version: version})
+	}
+	if err := errors.Join(listErr, headErr, epochErr); err != nil && ctx.Err() == nil {
+		n.metrics.platformErrors.Inc()
+		n.log.WithError(err).Warn("the platform could not be read; the rules in force stay")
+	}
+}
+
+// pause waits for d or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
+	"maps"
 	"time"
 
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/core/ramp"
 	"banyanyard/core/revision"
 	"banyanyard/core/rules"
-	"banyanyard/io/platform"
+	"banyanyard/core/slot"
 )
 
 const (
@@ -16,24 +18,55 @@
 	eventBacklog = 256
 	// tickInterval is the time between looks at what changes with time.
 	tickInterval = 100 * time.Millisecond
-	// pollJitter is the share of the poll interval that varies at random, so
-	// that instances don't ask at the same moment.
-	pollJitter = 0.2
 )
 
 // An event is something that the control goroutine takes into account.
 type event interface{ apply(c *control) }
 
-// control is the state of the control goroutine.
+// control is the state of the control goroutine. Nothing else reads or writes
+// it.
 type control struct {
-	node      *Node
-	current   revision.Current
-	rules     *rules.Set
-	instances []platform.Instance
+	node     *Node
+	ctx      context.Context // ends with the instance
+	current  revision.Current
+	rules    *rules.Set
+	detector *member.Detector
+	gossip   gossip.Store
+	shares   *slot.Shares
+	levels   map[string]ramp.Level // as gossip has them
+	listed   bool                  // the platform's list has been read
+	asking   map[string]bool       // pools for which an ask is under way
+	changing bool                  // a change of the epoch is under way
+	fetching int64                 // number of the head that is being read; 0 for none
+	nextSync time.Time
+}
+
+func newControl(ctx context.Context, n *Node) *control {
+	c := &control{
+		node:     n,
+		ctx:      ctx,
+		detector: member.New(n.identity, uint64(time.Now().UnixMilli()), seedOf(n.identity.ID)),
+		shares:   slot.NewShares(n.identity.ID),
+		levels:   map[string]ramp.Level{},
+		asking:   map[string]bool{},
+	}
+	if seeds := n.settings.Instance.Peers; len(seeds) > 0 {
+		c.detector.Seed(seedsOf(seeds))
+	}
+	return c
+}
+
+// seedsOf returns the addresses of the settings as a list.
+func seedsOf(addresses []string) []member.Seed {
+	seeds := make([]member.Seed, 0, len(addresses))
+	for _, a := range addresses {
+		seeds = append(seeds, member.Seed{Address: a})
+	}
+	return seeds
 }
 
 // run applies events until the context ends.
-func (c *control) run(ctx context.Context) {
+func (c *control) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -41,13 +74,24 @@
 		case e := <-c.node.events:
 			e.apply(c)
 		case now := <-ticker.C:
-			c.node.slots.tick(now)
-		case <-ctx.Done():
+			c.tick(now)
+		case <-c.ctx.Done():
 			return
 		}
 	}
 }
 
+func (c *control) tick(now time.Time) {
+	c.node.slots.tick(now)
+	for _, a := range c.detector.Tick(now) {
+		go c.node.probe(c.ctx, a, c.exchange())
+	}
+	c.noteMembers(now)
+	c.noteLevels()
+	c.askForSlots(now)
+	c.syncWithOne(now)
+}
+
 // send hands an event to the control goroutine.
 func (n *Node) send(ctx context.Context, e event) {
 	select {
@@ -56,27 +100,16 @@
 	}
 }
 
-// rulesRead says that a configuration was read and found valid.
-type rulesRead struct {
-	head revision.Head
-	set  *rules.Set
-}
-
-func (e rulesRead) apply(c *control) {
-	if err := c.current.Take(e.head); err != nil {
-		return
+// ask hands an event to the control goroutine and waits for its answer.
+func ask[R any](ctx context.Context, n *Node, e event, answer <-chan R) (R, error) {
+	n.send(ctx, e)
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		var none R
+		return none, ctx.Err()
 	}
-	c.rules = e.set
-	c.publish()
-	c.node.log.WithField("revision", e.head.Number).WithField("by", e.head.By).Info("rules in force")
-}
-
-// instancesRead is a new list of instances.
-type instancesRead struct{ instances []platform.Instance }
-
-func (e instancesRead) apply(c *control) {
-	c.instances = e.instances
-	c.publish()
 }
 
 // publish makes the control state visible to requests.
@@ -84,70 +117,19 @@
 	if c.rules == nil {
 		return
 	}
-	c.node.snapshot.Store(&Snapshot{Head: c.current.Head(), Rules: c.rules, Instances: c.instances})
+	c.node.snapshot.Store(&Snapshot{Head: c.current.Head(), Rules: c.rules})
 	c.node.metrics.revision.Set(float64(c.current.Head().Number))
-	c.node.slots.update(time.Now(), c.rules, c.members())
+	c.node.slots.update(time.Now(), c.rules, c.shares)
+	c.node.member.Store(c.shares.Member())
 }
 
-// members returns the instances among which upstream limits are dealt.
-func (c *control) members() []string {
-	ids := []string{c.node.id}
-	for _, i := range c.instances {
-		if i.ID != c.node.id {
-			ids = append(ids, i.ID)
+// noteLevels spreads the ramp levels that have changed.
+func (c *control) noteLevels() {
+	levels := c.node.slots.levels()
+	for id, level := range levels {
+		if level != c.levels[id] {
+			c.gossip.Put(gossip.Entry{Key: keyRamp + id, Version: levelVersion(level)})
 		}
 	}
-	return ids
-}
-
-// poll looks at the platform until the context ends.
-func (n *Node) poll(ctx context.Context) {
-	interval := float64(n.settings.Platform.PollInterval)
-	for ctx.Err() == nil {
-		n.pollOnce(ctx)
-		pause(ctx, time.Duration(interval*(1-pollJitter*rand.Float64())))
-	}
-}
-
-func (n *Node) pollOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Platform.Timeout))
-	defer cancel()
-	if instances, err := n.store.Instances(ctx); err == nil {
-		n.send(ctx, instancesRead{instances})
-	}
-	if err := n.pollRules(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		n.metrics.platformErrors.Inc()
-		n.log.WithError(err).Warn("the rules could not be read from the platform")
-	}
-}
-
-// pollRules reads the configuration when the table has a newer one.
-func (n *Node) pollRules(ctx context.Context) error {
-	head, _, err := platform.ReadHead(ctx, n.store)
-	if err != nil {
-		return err
-	}
-	if _, have := n.Rules(); head.Number <= have {
-		return nil
-	}
-	text, err := platform.ReadRules(ctx, n.store, head)
-	if err != nil {
-		return err
-	}
-	set, err := rules.Parse(text)
-	if err != nil {
-		return err
-	}
-	n.send(ctx, rulesRead{head: head, set: set})
-	return nil
-}
-
-// pause waits for d or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	maps.Copy(c.levels, levels)
 }
--- /dev/null
+++ b/node/gossip.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/core/ramp"
+	"banyanyard/core/revision"
+	"banyanyard/io/peer"
+)
+
+// Prefixes of the keys in gossip.
+const (
+	keyHead   = "head"    // the newest configuration
+	keyMember = "member/" // status of a member, by identifier
+	keyRamp   = "ramp/"   // ramp level of an upstream
+	keyEpoch  = "epoch/"  // epoch that a member acts on
+)
+
+const (
+	// gossipBytes bounds the entries in one message.
+	gossipBytes = 1200
+	// syncInterval is the time between full comparisons with one other member.
+	syncInterval = 20 * time.Second
+	// peerTimeout bounds a call of another instance.
+	peerTimeout = member.ProbeTimeout
+)
+
+func levelVersion(l ramp.Level) uint64 { return uint64(l.Epoch)<<8 | uint64(l.Percent) }
+
+func levelOf(version uint64) ramp.Level {
+	return ramp.Level{Epoch: uint32(version >> 8), Percent: uint8(version)}
+}
+
+// exchange returns a message with this instance's status and some gossip.
+func (c *control) exchange() peer.Exchange {
+	return peer.Exchange{
+		From:    peer.NewStatus(c.detector.Self()),
+		Entries: c.gossip.Outgoing(len(c.detector.Members())+1, gossipBytes),
+	}
+}
+
+// learn takes entries from another instance into account.
+func (c *control) learn(entries []gossip.Entry) {
+	now := time.Now()
+	for _, e := range entries {
+		if !c.gossip.Put(e) {
+			continue
+		}
+		switch {
+		case e.Key == keyHead:
+			c.learnHead(e)
+		case strings.HasPrefix(e.Key, keyMember):
+			c.learnMember(now, e)
+		case strings.HasPrefix(e.Key, keyRamp):
+			c.learnLevel(now, e)
+		case strings.HasPrefix(e.Key, keyEpoch):
+			c.learnActing(e)
+		}
+	}
+}
+
+func (c *control) learnHead(e gossip.Entry) {
+	var head revision.Head
+	if json.Unmarshal(e.Data, &head) == nil {
+		c.fetch(head)
+	}
+}
+
+func (c *control) learnMember(now time.Time, e gossip.Entry) {
+	var s peer.Status
+	if json.Unmarshal(e.Data, &s) == nil {
+		c.detector.Merge(now, s.Member())
+	}
+}
+
+func (c *control) learnLevel(now time.Time, e gossip.Entry) {
+	id := strings.TrimPrefix(e.Key, keyRamp)
+	level := levelOf(e.Version)
+	c.levels[id] = level
+	c.node.slots.merge(now, id, level)
+}
+
+func (c *control) learnActing(e gossip.Entry) {
+	agreed := c.shares.Agreed()
+	c.shares.Acts(strings.TrimPrefix(e.Key, keyEpoch), e.Version)
+	if c.shares.Agreed() != agreed {
+		c.publish()
+	}
+}
+
+// noteMembers spreads the statuses that have changed, and lets what depends on
+// the members follow.
+func (c *control) noteMembers(now time.Time) {
+	changes := c.detector.Changes()
+	if len(changes) == 0 {
+		return
+	}
+	for _, s := range changes {
+		data, err := json.Marshal(peer.NewStatus(s))
+		if err != nil {
+			continue
+		}
+		c.gossip.Put(gossip.Entry{Key: keyMember + s.ID, Version: s.Version(), Data: data})
+		c.noteMember(s)
+	}
+	c.prune()
+	c.node.members.Store(newMembers(c.detector.Self(), c.detector.Members(), c.shares.Epoch()))
+	c.node.charges.membersChanged(c.node.members.Load())
+	c.keepEpoch(now)
+}
+
+func (c *control) noteMember(s member.Status) {
+	if s.ID == c.node.identity.ID {
+		return
+	}
+	c.node.log.WithField("member", s.ID).WithField("state", s.State.String()).Info("member")
+	if s.State == member.Gone {
+		c.node.charges.takeOver(s.ID)
+	}
+}
+
+// prune forgets what gossip holds about members that are forgotten.
+func (c *control) prune() {
+	for key := range c.gossip.Digest() {
+		id, ok := strings.CutPrefix(key, keyEpoch)
+		if !ok || id == c.node.identity.ID {
+			continue
+		}
+		s, known := c.detector.Get(id)
+		epoch := c.shares.Epoch()
+		if (!known || s.State == member.Gone) && !epoch.Has(id) {
+			c.gossip.Delete(key)
+		}
+	}
+}
+
+// syncWithOne compares everything with one live member now and then, so that
+// gossip which was lost arrives in the end.
+func (c *control) syncWithOne(now time.Time) {
+	if now.Before(c.nextSync) {
+		return
+	}
+	var live []member.Status
+	for _, s := range c.detector.Members() {
+		if s.State <= member.Leaving {
+			live = append(live, s)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	c.nextSync = now.Add(syncInterval/2 + rand.N(syncInterval))
+	go c.node.syncWith(c.ctx, live[rand.IntN(len(live))].Address)
+}
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -145,6 +145,9 @@
 	s.Instance = settings.Instance{ID: "entry-" + domain, FailureDomain: domain}
 	s.Security.AllowPlainText = true
 	address := fmt.Sprintf("10.9.0.%d:8080", len(d.nodes))
+	s.Listen.Callers = address
+	s.Listen.Peers = strings.Replace(address, ":8080", ":8081", 1)
+	s.Listen.Operators = strings.Replace(address, ":8080", ":8082", 1)
 	n := &testNode{
 		Node: New(Config{
 			Settings: s, SessionKey: bytes.Repeat([]byte("k"), 32), Store: d.platform,
@@ -154,13 +157,17 @@
 		address: address,
 		stopped: make(chan error, 1),
 	}
-	callers, err := d.network.Listen(address, domain)
+	var l Listeners
+	var err error
+	l.Callers, err = d.network.Listen(s.Listen.Callers, domain)
 	d.is.NoErr(err)
-	operators, err := d.network.Listen(strings.Replace(address, ":8080", ":8082", 1), domain)
+	l.Peers, err = d.network.Listen(s.Listen.Peers, domain)
+	d.is.NoErr(err)
+	l.Operators, err = d.network.Listen(s.Listen.Operators, domain)
 	d.is.NoErr(err)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	go func() { n.stopped <- n.Serve(ctx, Listeners{Callers: callers, Operators: operators}) }()
+	go func() { n.stopped <- n.Serve(ctx, l) }()
 	d.nodes = append(d.nodes, n)
 	return n
 }
@@ -169,7 +176,7 @@
 func (d *deployment) list() {
 	var instances []platform.Instance
 	for _, n := range d.nodes {
-		instances = append(instances, platform.Instance{ID: n.ID(), Address: n.address, FailureDomain: n.settings.Instance.FailureDomain})
+		instances = append(instances, platform.Instance{ID: n.identity.Instance, Address: n.identity.Address, FailureDomain: n.identity.FailureDomain})
 	}
 	d.platform.SetInstances(instances)
 }
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"banyanyard/core/member"
+	"banyanyard/core/slot"
+)
+
+// members is an immutable view of the other instances, for requests and
+// background work.
+type members struct {
+	self  member.Status
+	live  []member.Status // live and not leaving, other failure domains first
+	epoch slot.Epoch
+}
+
+func newMembers(self member.Status, all []member.Status, epoch slot.Epoch) *members {
+	m := &members{self: self, epoch: epoch}
+	for _, s := range all {
+		if s.State == member.Live {
+			m.live = append(m.live, s)
+		}
+	}
+	slices.SortStableFunc(m.live, func(a, b member.Status) int {
+		return boolOrder(a.FailureDomain == self.FailureDomain) - boolOrder(b.FailureDomain == self.FailureDomain)
+	})
+	return m
+}
+
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// sharers returns the addresses of up to n random live members of the epoch.
+func (m *members) sharers(n int) []string {
+	if m == nil {
+		return nil
+	}
+	var addresses []string
+	for _, s := range m.live {
+		if m.epoch.Has(s.ID) {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
+// custodians returns up to n live members that keep copies of charges: a fixed
+// choice for this instance, of different failure domains where possible.
+func (m *members) custodians(n int) []member.Status {
+	if m == nil {
+		return nil
+	}
+	ranked := slices.Clone(m.live)
+	slices.SortFunc(ranked, func(a, b member.Status) int {
+		x, y := seedOf(m.self.ID+a.ID), seedOf(m.self.ID+b.ID)
+		if x < y {
+			return -1
+		}
+		return 1
+	})
+	var chosen []member.Status
+	used := map[string]bool{m.self.FailureDomain: true}
+	for _, s := range ranked {
+		if len(chosen) < n && !used[s.FailureDomain] {
+			used[s.FailureDomain] = true
+			chosen = append(chosen, s)
+		}
+	}
+	for _, s := range ranked {
+		if len(chosen) < n && !slices.ContainsFunc(chosen, func(c member.Status) bool { return c.ID == s.ID }) {
+			chosen = append(chosen, s)
+		}
+	}
+	return chosen
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"strings"
@@ -23,10 +24,12 @@
 	"sync/atomic"
 	"time"
 
+	"banyanyard/core/member"
 	"banyanyard/core/revision"
 	"banyanyard/core/rules"
 	"banyanyard/io/caller"
 	"banyanyard/io/engine"
+	"banyanyard/io/peer"
 	"banyanyard/io/platform"
 	"banyanyard/io/service"
 	"banyanyard/node/settings"
@@ -48,24 +51,27 @@
 
 // A Snapshot is the control state that requests see. It is never changed.
 type Snapshot struct {
-	Head      revision.Head
-	Rules     *rules.Set
-	Instances []platform.Instance // the platform's list, this instance included
+	Head  revision.Head
+	Rules *rules.Set
 }
 
 // A Node is one entry instance. Use New.
 type Node struct {
 	settings   settings.Settings
-	id         string // unique for this start of the instance
+	identity   member.Identity
 	sessionKey []byte
 	store      Store
 	engines    engine.Client
 	services   *service.Client
+	peers      *peer.Client
+	traffic    peer.Traffic
 	log        log.Interface
 	metrics    *Metrics
 	handler    *caller.Handler
 
 	snapshot atomic.Pointer[Snapshot]
+	members  atomic.Pointer[members]
+	member   atomic.Bool // the instance has shares of its own
 	leaving  atomic.Bool
 	slots    *slots
 	charges  *charges
@@ -84,13 +90,16 @@
 	Log        log.Interface
 	// Dial opens connections to upstreams and other instances; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// PeerTLS is the client configuration for other instances; nil means plain
+	// text.
+	PeerTLS *tls.Config
 }
 
 // New returns an instance that has not started.
 func New(c Config) *Node {
 	n := &Node{
 		settings:   c.Settings,
-		id:         c.Settings.Instance.ID + "-" + strings.ToLower(rand.Text()[:startIDLength]),
+		identity:   newIdentity(&c.Settings),
 		sessionKey: c.SessionKey,
 		store:      c.Store,
 		engines:    engine.Client{Dial: c.Dial},
@@ -99,9 +108,10 @@
 		retries:    newRetries(),
 		events:     make(chan event, eventBacklog),
 	}
-	n.log = c.Log.WithField("instance", n.id)
-	n.slots = newSlots(n.id, c.Settings.Instance.FailureDomain)
-	n.charges = newCharges(c.Settings.Limits.PendingCharges, c.Store, n.log, n.metrics)
+	n.log = c.Log.WithField("instance", n.identity.ID)
+	n.slots = newSlots(n.identity.ID, n.identity.FailureDomain)
+	n.peers = peer.NewClient(c.Dial, c.PeerTLS, &n.traffic)
+	n.charges = newCharges(n)
 	n.handler = caller.New(n, callerLimits(&c.Settings))
 	return n
 }
@@ -109,6 +119,16 @@
 // startIDLength is the length of the random part of an instance's identifier.
 const startIDLength = 8
 
+func newIdentity(s *settings.Settings) member.Identity {
+	return member.Identity{
+		ID:            s.Instance.ID + "-" + strings.ToLower(rand.Text()[:startIDLength]),
+		Instance:      s.Instance.ID,
+		Address:       s.Listen.Peers,
+		Callers:       s.Listen.Callers,
+		FailureDomain: s.Instance.FailureDomain,
+	}
+}
+
 func callerLimits(s *settings.Settings) caller.Limits {
 	return caller.Limits{
 		BodyBytes:         s.Limits.BodyBytes,
@@ -123,7 +143,7 @@
 }
 
 // ID returns the identifier of this start of the instance.
-func (n *Node) ID() string { return n.id }
+func (n *Node) ID() string { return n.identity.ID }
 
 // Handler serves callers.
 func (n *Node) Handler() http.Handler { return n.handler }
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanyard/io/operator"
+	"banyanyard/io/peer"
 
 	"github.com/pkg/errors"
 )
@@ -18,21 +19,39 @@
 // Listeners are the sockets of an instance.
 type Listeners struct {
 	Callers   net.Listener
+	Peers     net.Listener
 	Operators net.Listener
 }
 
+func (l *Listeners) close() {
+	for _, one := range [...]net.Listener{l.Callers, l.Peers, l.Operators} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
 // Listen opens the sockets that the settings name.
 func (n *Node) Listen() (Listeners, error) {
-	callers, err := net.Listen("tcp", n.settings.Listen.Callers)
-	if err != nil {
-		return Listeners{}, errors.Wrap(err, "listen.callers cannot be opened")
+	var l Listeners
+	sockets := []struct {
+		key      string
+		address  string
+		listener *net.Listener
+	}{
+		{key: "listen.callers", address: n.settings.Listen.Callers, listener: &l.Callers},
+		{key: "listen.peers", address: n.settings.Listen.Peers, listener: &l.Peers},
+		{key: "listen.operators", address: n.settings.Listen.Operators, listener: &l.Operators},
 	}
-	operators, err := net.Listen("tcp", n.settings.Listen.Operators)
-	if err != nil {
-		_ = callers.Close()
-		return Listeners{}, errors.Wrap(err, "listen.operators cannot be opened")
+	for _, s := range sockets {
+		opened, err := net.Listen("tcp", s.address)
+		if err != nil {
+			l.close()
+			return Listeners{}, errors.Wrapf(err, "%s cannot be opened; is another process using it?", s.key)
+		}
+		*s.listener = opened
 	}
-	return Listeners{Callers: callers, Operators: operators}, nil
+	return l, nil
 }
 
 // Serve runs the instance until the context ends, and then stops it gracefully:
@@ -44,12 +63,16 @@
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	peers := peer.NewServer(peerHandler{n}, &n.traffic)
+	defer peers.Close()
 	n.start(work)
 	callers := n.newServer(n.handler)
 	operators := n.newServer(operator.New(n))
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- serve(callers, l.Callers, callerTLS) }()
 	go func() { failed <- serve(operators, l.Operators, nil) }()
+	go func() { failed <- peers.Serve(work, l.Peers) }()
+	defer l.close()
 	select {
 	case err := <-failed:
 		return err
@@ -60,8 +83,9 @@
 
 // start runs the goroutines that requests depend on until the context ends.
 func (n *Node) start(ctx context.Context) {
-	c := &control{node: n}
-	go c.run(ctx)
+	c := newControl(ctx, n)
+	n.members.Store(newMembers(c.detector.Self(), nil, c.shares.Epoch()))
+	go c.run()
 	go n.poll(ctx)
 	go n.charges.run(ctx)
 }
@@ -88,9 +112,15 @@
 	return err
 }
 
+// leavingBegun tells the other members that this instance takes no new work.
+type leavingBegun struct{}
+
+func (leavingBegun) apply(c *control) { c.detector.Leave() }
+
 // shutdown stops the instance without cutting a request.
 func (n *Node) shutdown(callers, operators *http.Server) error {
 	n.leaving.Store(true)
+	n.send(context.Background(), leavingBegun{})
 	n.log.Info("leaving")
 	time.Sleep(time.Duration(n.settings.Timeouts.Announce))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Timeouts.Drain))
@@ -102,7 +132,9 @@
 	for !n.charges.flush(flushCtx) && flushCtx.Err() == nil {
 		pause(flushCtx, time.Second)
 	}
+	n.leaveEpoch(context.Background())
 	n.engines.Close()
+	n.peers.Close()
 	n.services.Close()
 	_ = operators.Close()
 	n.log.Info("left")
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -30,8 +30,9 @@
 
 // Instance names the process.
 type Instance struct {
-	ID            string `toml:"id" doc:"Name of this instance, unique in the deployment. Each start adds a random part."`
-	FailureDomain string `toml:"failure-domain" doc:"Failure domain that the instance stands in, as the rules name it."`
+	ID            string   `toml:"id" doc:"Name of this instance in the platform's list, unique in the deployment. Each start adds a random part."`
+	FailureDomain string   `toml:"failure-domain" doc:"Failure domain that the instance stands in, as the rules name it."`
+	Peers         []string `toml:"peers" doc:"Addresses (IP:port) of other instances to try until the platform's list can be read."`
 }
 
 // Listen holds the addresses, each IP:port.
@@ -168,6 +169,9 @@
 	var c checker
 	c.require("instance.id", s.Instance.ID)
 	c.require("instance.failure-domain", s.Instance.FailureDomain)
+	for _, a := range s.Instance.Peers {
+		c.address("instance.peers", a)
+	}
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
--- a/node/slots.go
+++ b/node/slots.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"sync"
 	"time"
 
 	"banyanyard/core/dispatch"
+	"banyanyard/core/ramp"
 	"banyanyard/core/refusal"
 	"banyanyard/core/rules"
+	"banyanyard/core/slot"
 )
 
 // slots guards a dispatcher and lets requests wait for its grants.
@@ -19,16 +20,42 @@
 }
 
 func newSlots(id, domain string) *slots {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	return &slots{dispatcher: dispatch.New(id, domain, h.Sum64())}
+	return &slots{dispatcher: dispatch.New(domain, seedOf(id))}
 }
 
-// update puts new rules and members in force.
-func (s *slots) update(now time.Time, set *rules.Set, members []string) {
+// update puts new rules and shares in force.
+func (s *slots) update(now time.Time, set *rules.Set, shares dispatch.Shares) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.Update(now, set, members)
+	s.dispatcher.Update(now, set, shares)
+}
+
+// setShare puts a new share of one upstream in force.
+func (s *slots) setShare(now time.Time, upstream string, share slot.Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.SetShare(now, upstream, share)
+}
+
+// needs returns what waiting tickets lack.
+func (s *slots) needs(now time.Time) []dispatch.Need {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Needs(now)
+}
+
+// levels returns the ramp level of every upstream.
+func (s *slots) levels() map[string]ramp.Level {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Levels()
+}
+
+// merge takes another instance's ramp level into account.
+func (s *slots) merge(now time.Time, upstream string, level ramp.Level) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Merge(now, upstream, level)
 }
 
 // tick serves tickets whose upstreams have become usable with time.
--- a/node/status.go
+++ b/node/status.go
@@ -9,7 +9,7 @@
 // Status implements operator.Instance.
 func (n *Node) Status() operator.Status {
 	s := operator.Status{
-		Instance:       n.id,
+		Instance:       n.identity.ID,
 		FailureDomain:  n.settings.Instance.FailureDomain,
 		Ready:          n.Ready(),
 		Leaving:        n.leaving.Load(),
