--- a/cmd/banyanyard/demo.go
+++ b/cmd/banyanyard/demo.go
@@ -167,7 +167,10 @@
 		s.Listen.Callers = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String()
 		s.Listen.Operators = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(len(demoDomains)+i)).String()
 		s.Listen.Peers = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(2*len(demoDomains)+i)).String()
-		n := node.New(node.Config{Settings: s, SessionKey: key, Store: d.platform, Log: logger})
+		n, err := node.New(node.Config{Settings: s, SessionKey: key, Store: d.platform, Log: logger})
+		if err != nil {
+			return err
+		}
 		l, err := n.Listen()
 		if err != nil {
 			return err
--- a/cmd/banyanyard/serve.go
+++ b/cmd/banyanyard/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"banyanyard/io/platform"
 	"banyanyard/node"
@@ -43,14 +45,28 @@
 		return err
 	}
 	store := &platform.Client{Base: s.Platform.URL, HTTP: &http.Client{}}
-	n := node.New(node.Config{Settings: s, SessionKey: key, Store: store, Log: logger})
+	n, err := node.New(node.Config{Settings: s, SessionKey: key, Store: store, Log: logger})
+	if err != nil {
+		return err
+	}
 	listeners, err := n.Listen()
 	if err != nil {
 		return err
 	}
+	go abortOnSecondSignal(ctx, n)
 	return n.Serve(ctx, listeners)
 }
 
+// abortOnSecondSignal ends the instance at once when a signal comes while it
+// stops gracefully.
+func abortOnSecondSignal(ctx context.Context, n *node.Node) {
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGINT, syscall.SIGTERM)
+	<-again
+	n.Abort()
+}
+
 // newLogger returns a logger that writes JSON lines to standard error.
 func newLogger(level string) (*log.Logger, error) {
 	l, err := log.ParseLevel(level)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -400,6 +400,7 @@
 	Reachable bool
 	Level     ramp.Level
 	Requests  int // held by this instance
+	Share     int // of this instance when the upstream is warm
 	Limit     int // of this instance now
 }
 
@@ -417,6 +418,7 @@
 			Reachable: !now.Before(u.downUntil),
 			Level:     u.ramp.Level(),
 			Requests:  u.requests,
+			Share:     u.share.Requests,
 			Limit:     u.limit(),
 		})
 	}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -14,11 +14,13 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"encoding/json"
-	"hash/fnv"
 	"maps"
 	"math/bits"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // An Entry is one value.
@@ -106,16 +108,18 @@
 // Len returns the number of keys.
 func (s *Store) Len() int { return len(s.entries) }
 
-// Outgoing returns entries for a message of at most maxBytes in a deployment of
+// Outgoing returns entries for a message of about maxBytes in a deployment of
 // the given number of instances, and counts them as sent.
 func (s *Store) Outgoing(instances, maxBytes int) []Entry {
 	slices.SortStableFunc(s.active, func(a, b *held) int { return cmp.Compare(a.sent, b.sent) })
 	limit := repeats * bits.Len(uint(instances))
 	var out []Entry
 	for _, h := range s.active {
-		if maxBytes -= h.size(); maxBytes < 0 {
-			break
+		// An entry that is too large travels alone, so that it stops no other.
+		if len(out) > 0 && h.size() > maxBytes {
+			continue
 		}
+		maxBytes -= h.size()
 		out = append(out, h.Entry)
 		h.sent++
 		h.active = h.sent < limit
@@ -152,13 +156,13 @@
 	return missing, wanted
 }
 
+// hash mixes well, since the sums of few keys must not be alike.
 func hash(e *Entry) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(e.Key))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(e.Key)
 	var version [8]byte
-	for i := range version {
-		version[i] = byte(e.Version >> (8 * i))
-	}
-	_, _ = h.Write(version[:])
-	return h.Sum64()
+	binary.LittleEndian.PutUint64(version[:], e.Version)
+	_, _ = d.Write(version[:])
+	return d.Sum64()
 }
--- /dev/null
+++ b/core/gossip/gossip_test.go
@@ -0,0 +1,120 @@
+package gossip
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestStoresThatHaveSeenTheSameHoldTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{
+				Key:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"),
+				Version: rapid.Uint64Range(0, 3).Draw(t, "version"),
+				Data:    json.RawMessage(rapid.SampledFrom([]string{"1", "2"}).Draw(t, "data")),
+			}
+		})).Draw(t, "entries")
+		var a, b Store
+		for _, e := range entries {
+			a.Put(e)
+		}
+		for _, i := range rand.New(rand.NewPCG(uint64(len(entries)), 1)).Perm(len(entries)) {
+			b.Put(entries[i])
+		}
+		if a.Sum() != b.Sum() || fmt.Sprint(a.Digest()) != fmt.Sprint(b.Digest()) {
+			t.Fatalf("%v and %v", a.Digest(), b.Digest())
+		}
+		if missing, wanted := a.Compare(b.Digest()); len(missing)+len(wanted) > 0 {
+			t.Fatalf("missing %v, wanted %v", missing, wanted)
+		}
+	})
+}
+
+// The sums of these stores were alike with a weak hash, so that they were never
+// compared.
+func TestSumsOfPermutedVersionsDiffer(t *testing.T) {
+	is := is.New(t)
+	sums := map[uint64]bool{}
+	for raised := range 3 {
+		var s Store
+		for i := range 3 {
+			version := uint64(3)
+			if i == raised {
+				version = 4
+			}
+			s.Put(Entry{Key: fmt.Sprintf("epoch/entry-%d", i), Version: version})
+		}
+		sums[s.Sum()] = true
+	}
+	is.Equal(len(sums), 3)
+}
+
+func TestLargeEntryStopsNoOther(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	s.Put(Entry{Key: "large", Version: 1, Data: make([]byte, 5000)})
+	s.Put(Entry{Key: "small", Version: 1})
+	got := map[string]bool{}
+	for range 3 {
+		for _, e := range s.Outgoing(3, 1200) {
+			got[e.Key] = true
+		}
+	}
+	is.True(got["large"] && got["small"])
+}
+
+func TestEntriesAreSentABoundedNumberOfTimes(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	s.Put(Entry{Key: "a", Version: 1})
+	sent := 0
+	for range 100 {
+		sent += len(s.Outgoing(390, 1200))
+	}
+	is.Equal(sent, repeats*9)
+}
+
+// BenchmarkSpread reports the rounds until a new entry is everywhere, when each
+// instance exchanges with one random other a round.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{7, 50, 390} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, uint64(n)))
+			total := 0
+			for b.Loop() {
+				total += spread(n, random)
+			}
+			b.ReportMetric(float64(total)/float64(b.N), "rounds")
+		})
+	}
+}
+
+func spread(n int, random *rand.Rand) int {
+	stores := make([]Store, n)
+	stores[0].Put(Entry{Key: "head", Version: 2})
+	for round := 1; ; round++ {
+		for i := range stores {
+			other := random.IntN(n)
+			for _, e := range stores[i].Outgoing(n, 1200) {
+				stores[other].Put(e)
+			}
+			for _, e := range stores[other].Outgoing(n, 1200) {
+				stores[i].Put(e)
+			}
+		}
+		have := 0
+		for i := range stores {
+			if _, ok := stores[i].Get("head"); ok {
+				have++
+			}
+		}
+		if have == n || round == 100 {
+			return round
+		}
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -122,7 +122,7 @@
 func choose(set *rules.Set, organisation *rules.Organisation, model string, s *session.Session) (rules.Target, *refusal.Error) {
 	if r := set.Rollouts[model]; r != nil {
 		t := rules.Target{Model: model, Version: r.From}
-		if session.Percentile(organisation.ID, s.ID, model) < r.Share() {
+		if !s.Unsure && session.Percentile(organisation.ID, s.ID, model) < r.Share() {
 			t.Version = r.To
 		}
 		if usable(set, organisation, set.Versions[t]) {
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -14,6 +14,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"hash/fnv"
+	"maps"
 	"strings"
 )
 
@@ -30,6 +31,21 @@
 	Organisation string            `json:"organisation"`
 	ID           string            `json:"id"`
 	Versions     map[string]string `json:"versions"` // by model
+	// Named says that the caller chose the ID and may send nothing else.
+	Named bool `json:"-"`
+	// Unsure says that an earlier version may exist which can't be looked up
+	// now. A roll-out then doesn't count the session among the new ones.
+	Unsure bool `json:"-"`
+}
+
+// Clone returns a copy that shares nothing with s.
+func (s *Session) Clone() *Session {
+	c := *s
+	c.Versions = maps.Clone(s.Versions)
+	if c.Versions == nil {
+		c.Versions = map[string]string{}
+	}
+	return &c
 }
 
 // An InvalidError reports a token that was not made with the key, or for
--- a/core/slot/shares.go
+++ b/core/slot/shares.go
@@ -125,6 +125,9 @@
 	s.grow()
 }
 
+// Acting returns the newest epoch that another instance is known to act on.
+func (s *Shares) Acting(id string) uint64 { return s.acting[id] }
+
 // grow raises the shares to the deal when every member acts on the same epoch.
 // A member that acts on a newer one may have left this one out and kept more.
 func (s *Shares) grow() {
@@ -201,6 +204,16 @@
 	return Share{}
 }
 
+// Any reports whether the instance has a share of any upstream.
+func (s *Shares) Any() bool {
+	for _, d := range s.upstreams {
+		if d.current.Requests > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // A Transfer moves a share from one member to another.
 type Transfer struct {
 	ID       string `json:"id"` // unique; a transfer is taken once
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -41,6 +41,8 @@
 	models    map[string]int // guarded by mu; runs by model
 	cancelled int            // guarded by mu
 	resumed   int            // guarded by mu
+	bears     int            // guarded by mu; requests that a cold engine bears; 0 when warm
+	overload  int            // guarded by mu; requests refused beyond bears
 }
 
 // SetFaults replaces the switches.
@@ -50,6 +52,15 @@
 	e.faults = f
 }
 
+// Restart makes the engine cold: it refuses requests beyond the given number at
+// once, and bears one more with each answer.
+func (e *Engine) Restart(bears int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bears = bears
+	e.overload = 0
+}
+
 // A Record is what an engine has seen.
 type Record struct {
 	Running   int
@@ -58,14 +69,16 @@
 	RanTwice  int // attempts that were run more than once
 	Cancelled int
 	Resumed   int
-	ByModel   map[string]int
+	// Overloaded counts the requests beyond what the engine bore while cold.
+	Overloaded int
+	ByModel    map[string]int
 }
 
 // Record returns what the engine has seen so far.
 func (e *Engine) Record() Record {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, ByModel: map[string]int{}}
+	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, Overloaded: e.overload, ByModel: map[string]int{}}
 	for _, n := range e.ran {
 		r.Ran += n
 		if n > 1 {
@@ -93,6 +106,10 @@
 	if e.faults.RefuseAll {
 		return e.faults, true
 	}
+	if e.bears > 0 && e.running >= e.bears {
+		e.overload++
+		return Faults{RefuseAll: true}, true
+	}
 	if resume {
 		if e.ran[attempt] == 0 {
 			return e.faults, false
@@ -116,6 +133,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
+	if e.bears > 0 {
+		e.bears++
+	}
 	if cancelled {
 		e.cancelled++
 	}
--- a/fake/platform/platform.go
+++ b/fake/platform/platform.go
@@ -2,8 +2,8 @@
 // store, list of instances and rating service, kept in memory.
 //
 // A Platform has the methods of the platform client, so that tests can use it
-// without a network, and Handler serves the same over HTTP. Faults decides what
-// goes wrong at each call.
+// without a network, and Handler serves the same over HTTP. SetFaults says
+// what goes wrong at each call.
 package platform
 
 import (
@@ -40,13 +40,11 @@
 
 // A Platform holds the tables and objects. The zero Platform is empty.
 type Platform struct {
-	// Faults chooses the fault of each call; nil means none. It is called
-	// without locks held and may block.
-	Faults func(Call) Fault
 	// RateAnswer judges answers; nil means that every answer suffices.
 	RateAnswer func(platform.Answer) float64
 
 	mu        sync.Mutex
+	faults    func(Call) Fault                   // guarded by mu
 	tables    map[string]map[string]platform.Row // guarded by mu
 	objects   map[string][]byte                  // guarded by mu
 	instances []platform.Instance                // guarded by mu
@@ -54,11 +52,22 @@
 	counts    map[Call]int                       // guarded by mu; by Op and Table
 }
 
+// SetFaults sets what chooses the fault of each call; nil means none. It is
+// called without locks held and may block.
+func (p *Platform) SetFaults(choose func(Call) Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = choose
+}
+
 // run counts a call and applies its fault around f.
 func (p *Platform) run(c Call, write bool, f func() error) error {
+	p.mu.Lock()
+	choose := p.faults
+	p.mu.Unlock()
 	fault := None
-	if p.Faults != nil {
-		fault = p.Faults(c)
+	if choose != nil {
+		fault = choose(c)
 	}
 	if fault == Refuse {
 		return &platform.UnavailableError{Op: c.Op, Cause: errFault}
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -28,18 +28,18 @@
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	c, err := h.readCompletion(w, r)
 	if err != nil {
-		writeRefusal(w, err)
+		WriteRefusal(w, err)
 		return
 	}
 	ctx, cancel, refused := h.withTimeout(r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	defer cancel()
 	s, openErr := h.router.OpenSession(ctx, c.Organisation.ID, r.Header.Get(HeaderSession), r.Header.Get(HeaderSessionID))
 	if openErr != nil {
-		writeRefusal(w, openErr)
+		WriteRefusal(w, openErr)
 		return
 	}
 	c.Session = s
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -32,7 +32,7 @@
 	r.Get("/services/{service}/calls/{key}", h.serveOutcome)
 	r.HandleFunc("/services/{service}/*", h.serveService)
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
-		writeRefusal(w, refusal.New(refusal.ServiceNotFound, "use /v1/chat/completions, /v1/models or /services/{service}/…", "the path does not exist"))
+		WriteRefusal(w, refusal.New(refusal.ServiceNotFound, "use /v1/chat/completions, /v1/models or /services/{service}/…", "the path does not exist"))
 	})
 	h.mux = r
 	return h
--- a/io/caller/models.go
+++ b/io/caller/models.go
@@ -24,7 +24,7 @@
 func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request) {
 	request, refused := h.identify(w, r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	list := modelList{Object: "list", Data: []model{}}
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -178,7 +178,7 @@
 		data, meta, ended, err := o.take()
 		if meta == nil {
 			if ended {
-				writeRefusal(w, err)
+				WriteRefusal(w, err)
 				return nil
 			}
 			continue
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -79,8 +79,8 @@
 	return "server_error"
 }
 
-// writeRefusal answers with a problem.
-func writeRefusal(w http.ResponseWriter, err error) {
+// WriteRefusal answers with a problem.
+func WriteRefusal(w http.ResponseWriter, err error) {
 	e := asRefusal(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -18,17 +18,17 @@
 func (h *Handler) serveService(w http.ResponseWriter, r *http.Request) {
 	request, refused := h.identify(w, r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	body, refused := h.readBody(w, r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	ctx, cancel, refused := h.withTimeout(r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	defer cancel()
@@ -43,7 +43,7 @@
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 	})
 	if err != nil {
-		writeRefusal(w, err)
+		WriteRefusal(w, err)
 		return
 	}
 	writeServiceAnswer(w, answer, request.Revision)
@@ -84,16 +84,16 @@
 func (h *Handler) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	request, refused := h.identify(w, r)
 	if refused != nil {
-		writeRefusal(w, refused)
+		WriteRefusal(w, refused)
 		return
 	}
 	record, err := h.router.Outcome(r.Context(), request.Organisation.ID, chi.URLParam(r, "service"), chi.URLParam(r, "key"))
 	if err != nil {
-		writeRefusal(w, err)
+		WriteRefusal(w, err)
 		return
 	}
 	if record == nil {
-		writeRefusal(w, refusal.New(refusal.CallNotFound, "send the call", "no call with this key is known"))
+		WriteRefusal(w, refusal.New(refusal.CallNotFound, "send the call", "no call with this key is known"))
 		return
 	}
 	o := outcome{State: record.State, Since: record.Since}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -37,6 +37,7 @@
 	InService bool   `json:"in-service"`
 	Warm      int    `json:"warm-percent"` // 0 is cold, 100 is warm
 	Requests  int    `json:"requests"`     // held by this instance
+	Share     int    `json:"share"`        // of this instance when the upstream is warm
 	Limit     int    `json:"limit"`        // of this instance now
 	Reachable bool   `json:"reachable"`
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -109,5 +109,13 @@
 }
 
 func newConn(ctx context.Context, c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{}), h)
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(silentLogger{}))
 }
+
+// A silentLogger drops the library's messages: what they report, a connection
+// that broke, is returned to the callers of the connection.
+type silentLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (silentLogger) Printf(string, ...any) {}
--- a/io/platform/rules.go
+++ b/io/platform/rules.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"banyanyard/core/revision"
+	"banyanyard/core/rules"
 )
 
 // Tables that the system keeps.
@@ -69,9 +70,12 @@
 }
 
 // ApplyRules makes text the configuration that follows revision from. It
-// returns a revision.StaleError when another configuration was accepted since,
+// returns rules.Problems when the text is not valid, a revision.StaleError when another configuration was accepted since,
 // and an ApplyUnknownError when the context ends before the outcome is known.
 func ApplyRules(ctx context.Context, t ruleTable, from int64, text, by string) (revision.Head, error) {
+	if _, err := rules.Parse(text); err != nil {
+		return revision.Head{}, err
+	}
 	head := revision.Head{
 		Object:  revision.ObjectKey(text),
 		Apply:   rand.Text(),
--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,383 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"banyanyard/core/member"
+	"banyanyard/io/caller"
+	"banyanyard/io/platform"
+)
+
+// held returns the shares of requests that the running instances have of an
+// upstream, all together.
+func (d *deployment) shares(upstream string) int {
+	sum := 0
+	for _, n := range d.nodes {
+		for _, v := range n.Status().Upstreams {
+			if v.ID == upstream {
+				sum += v.Share
+			}
+		}
+	}
+	return sum
+}
+
+func TestSharesAddUpToTheLimitThroughChanges(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.is.Equal(d.shares("small-milano-a"), 24)
+		n := d.startNode("milano-a")
+		d.list()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			d.is.True(d.shares("small-milano-a") <= 24)
+		}
+		d.is.Equal(d.shares("small-milano-a"), 24)
+		d.is.True(n.sharing.Load())
+		d.kill(n)
+		d.nodes = d.nodes[:3]
+		d.list()
+		time.Sleep(15 * time.Second)
+		d.is.Equal(d.shares("small-milano-a"), 24)
+	})
+}
+
+func TestLargeRequestBorrowsTokens(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.apply(strings.ReplaceAll(d.rules, "max-requests = 24,", "max-requests = 24, max-tokens = 6000,"))
+		time.Sleep(10 * time.Second)
+		// A third of 6,000 tokens is each instance's own share.
+		r := d.send(request{body: `{"model":"small","max_tokens":5000,"messages":[{"role":"user","content":"x"}]}`})
+		d.is.Equal(r.status, 200)
+	})
+}
+
+func TestInstanceWithoutSharesHandsOver(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.peerSeeds = []string{d.nodes[0].identity.Address}
+		d.platformDown()
+		n := d.startNode("torino-b")
+		time.Sleep(settleTime)
+		d.is.True(!n.sharing.Load())
+		d.is.True(n.Ready()) // by the rules of another instance
+		r := d.send(request{node: 3, body: completionBody("small", "hello", true)})
+		_, whole := streamText(r.body)
+		d.is.True(whole)
+		d.platformUp()
+		d.list()
+		time.Sleep(2 * settleTime)
+		d.is.True(n.sharing.Load())
+	})
+}
+
+func TestInstanceWithoutRulesIsNotReady(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.platformDown()
+		n := d.startNode("torino-b")
+		time.Sleep(settleTime)
+		d.is.True(!n.Ready())
+		r := d.send(request{node: 3})
+		d.is.Equal(r.status, 503)
+		d.is.Equal(r.problem.Run, "not-run")
+	})
+}
+
+// TestOutageOfAnHour replaces half of the instances, by death and by planned
+// stop, while the platform is down.
+func TestOutageOfAnHour(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.startNode("milano-a")
+		d.list()
+		time.Sleep(2 * settleTime)
+		for _, n := range d.nodes {
+			d.peerSeeds = append(d.peerSeeds, n.identity.Address)
+		}
+		d.platformDown()
+		answered := 0
+		for minute := range 60 {
+			for i := range d.nodes {
+				r := d.send(request{node: i})
+				if r.status != 200 {
+					t.Fatalf("minute %d, instance %d: %d %s", minute, i, r.status, r.body)
+				}
+				answered++
+			}
+			switch minute {
+			case 20:
+				d.kill(d.nodes[1])
+				d.replace(1)
+				time.Sleep(10 * time.Second)
+			case 40:
+				d.nodes[2].stop()
+				d.is.NoErr(<-d.nodes[2].stopped)
+				d.replace(2)
+				time.Sleep(10 * time.Second)
+			}
+			time.Sleep(time.Minute)
+		}
+		refused := d.send(hold(0, "k", "bed"))
+		d.is.Equal(refused.problem.Run, "not-run")
+		d.platformUp()
+		time.Sleep(time.Minute)
+		d.is.Equal(len(d.charges()), answered) // every charge once, though two owners have ended
+		d.is.Equal(d.send(hold(0, "k", "bed")).status, 201)
+	})
+}
+
+func TestChargesSurviveTheDeathOfTheirInstance(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.platform.SetFaults(failTable(platform.TableCharges))
+		for range 5 {
+			d.is.Equal(d.send(request{node: 1}).status, 200)
+		}
+		d.kill(d.nodes[1])
+		d.platformUp()
+		time.Sleep(20 * time.Second)
+		d.is.Equal(len(d.charges()), 5)
+	})
+}
+
+func TestRulesSpreadWhileTheTableIsCutFromOne(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.nodes[2].store.cut.Store(true)
+		d.change(`id = "pavia-c", state = "in"`, `id = "pavia-c", state = "out"`)
+		time.Sleep(5 * time.Second)
+		for _, n := range d.nodes {
+			_, revision := n.Node.Rules()
+			d.is.Equal(revision, int64(2))
+		}
+	})
+}
+
+func TestRulesNeverRevert(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		newest := make([]int64, len(d.nodes))
+		for i := range 10 {
+			d.network.Heal()
+			d.network.Part(testDomains[i%3], testDomains[(i+1)%3])
+			d.apply(d.rules + fmt.Sprintf("service = { id = \"s%d\" } # T: test\n", i))
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				for k, n := range d.nodes {
+					_, revision := n.Node.Rules()
+					d.is.True(revision >= newest[k])
+					newest[k] = revision
+				}
+			}
+		}
+		d.network.Heal()
+		time.Sleep(5 * time.Second)
+		for _, n := range d.nodes {
+			_, revision := n.Node.Rules()
+			d.is.Equal(revision, int64(11))
+		}
+	})
+}
+
+// TestDomainCutOff parts one failure domain from the others and from the
+// platform. It goes on serving with its own upstreams.
+func TestDomainCutOff(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for range 2 { // again, before all has recovered
+			d.network.Part("milano-a", "torino-b")
+			d.network.Part("milano-a", "pavia-c")
+			d.nodes[0].store.cut.Store(true)
+			time.Sleep(10 * time.Second)
+			for range 10 {
+				d.is.Equal(d.send(request{node: 0}).status, 200)
+				d.is.Equal(d.send(request{node: 1}).status, 200)
+			}
+			d.is.True(d.shares("small-milano-a") <= 24)
+			d.is.Equal(d.send(hold(0, "cut", "bed")).problem.Run, "not-run")
+			d.network.Heal()
+			d.nodes[0].store.cut.Store(false)
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		for _, n := range d.nodes {
+			for _, m := range n.members.Load().live {
+				d.is.Equal(m.State, member.Live)
+			}
+			d.is.Equal(len(n.members.Load().live), 2)
+		}
+		for _, e := range d.engines {
+			d.is.True(e.Record().MostHeld <= 24)
+		}
+	})
+}
+
+// TestDomainLeavesDuringPeak takes a failure domain out while callers load it,
+// and brings it back.
+func TestDomainLeavesDuringPeak(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		var callers sync.WaitGroup
+		ctx, stop := context.WithCancel(context.Background())
+		for i := range 24 {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					r := d.send(request{node: i % 3, body: completionBody("small", "peak", true)})
+					if _, whole := streamText(r.body); !whole {
+						t.Errorf("a caller got %d %s", r.status, r.body)
+					}
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		d.change(`id = "milano-a", state = "in"`, `id = "milano-a", state = "out"`)
+		time.Sleep(3 * time.Second)
+		before := d.ranAt("small-milano-a")
+		time.Sleep(10 * time.Second)
+		d.is.Equal(d.ranAt("small-milano-a"), before)
+		d.change(`id = "milano-a", state = "out"`, `id = "milano-a", state = "in"`)
+		time.Sleep(10 * time.Second)
+		d.is.True(d.ranAt("small-milano-a") > before)
+		stop()
+		callers.Wait()
+	})
+}
+
+// TestHalfOfTheInstancesAreReplaced replaces instances one after another under
+// load, as the balancer sees it: a caller goes to an instance that is ready.
+func TestHalfOfTheInstancesAreReplaced(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		var callers sync.WaitGroup
+		var mu sync.Mutex // guards d.nodes
+		ctx, stop := context.WithCancel(context.Background())
+		for i := range 12 {
+			callers.Go(func() {
+				for turn := i; ctx.Err() == nil; turn++ {
+					mu.Lock()
+					n := d.nodes[turn%3]
+					mu.Unlock()
+					if !n.Ready() {
+						time.Sleep(10 * time.Millisecond)
+						continue
+					}
+					r := d.send(request{node: turn % 3, body: completionBody("small", "steady", true)})
+					if _, whole := streamText(r.body); !whole {
+						t.Errorf("a caller got %d %v %s", r.status, r.err, r.body)
+					}
+				}
+			})
+		}
+		for i := range 2 {
+			time.Sleep(3 * time.Second)
+			d.nodes[i].stop()
+			d.is.NoErr(<-d.nodes[i].stopped)
+			mu.Lock()
+			d.replace(i)
+			mu.Unlock()
+			time.Sleep(8 * time.Second)
+		}
+		stop()
+		callers.Wait()
+		d.is.Equal(d.shares("small-milano-a"), 24)
+	})
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for i := range 6 {
+			d.is.Equal(d.send(request{node: i % 3}).status, 200)
+		}
+		for i := range 3 {
+			d.network.Silence(fmt.Sprintf("10.%d.1.0:8000", i))
+			d.network.Silence(d.nodes[i].identity.Address)
+		}
+		begin := time.Now()
+		for i := range 6 {
+			r := d.send(request{node: i % 3, body: completionBody("small", "after", true)})
+			_, whole := streamText(r.body)
+			d.is.True(whole)
+		}
+		d.is.True(time.Since(begin) < 60*time.Second)
+		time.Sleep(15 * time.Second)
+		for _, n := range d.nodes {
+			d.is.Equal(len(n.members.Load().live), 2)
+		}
+	})
+}
+
+func TestUnannouncedColdStartIsHeldBackEverywhere(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for range 60 {
+			for i := range 3 {
+				d.is.Equal(d.send(request{node: i}).status, 200)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		e := d.engines["small-milano-a"]
+		e.Restart(6)
+		var callers sync.WaitGroup
+		for i := range 60 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				d.is.Equal(d.send(request{node: i % 3}).status, 200)
+			})
+		}
+		callers.Wait()
+		d.is.True(e.Record().Overloaded <= 3*3) // a few requests show each instance that it is cold
+	})
+}
+
+func TestSessionKeepsItsVersion(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.apply(strings.ReplaceAll(d.rules, `serves = ["small@v1"]`, `serves = ["small@v1", "small@v2"]`) +
+			"version = { model = \"small\", id = \"v2\", state = \"serving\" } # T: test\n" +
+			"rollout = { model = \"small\", from = \"v1\", to = \"v2\", shares-percent = [0, 50, 100], step = 0 } # T: test\n")
+		time.Sleep(settleTime)
+		token := d.send(request{}).header.Get(caller.HeaderSession)
+		byID := func(node int) string {
+			return d.send(request{node: node, header: map[string]string{caller.HeaderSessionID: "joiner-7"}}).header.Get(caller.HeaderVersion)
+		}
+		d.is.Equal(byID(0), "v1")
+		for _, step := range []string{"step = 1", "step = 2"} {
+			d.change("step = "+fmt.Sprint(int(step[7]-'1')), step)
+			d.kill(d.nodes[0])
+			d.replace(0)
+			time.Sleep(2 * settleTime)
+			for i := range 3 {
+				r := d.send(request{node: i, header: map[string]string{caller.HeaderSession: token}})
+				d.is.Equal(r.header.Get(caller.HeaderVersion), "v1")
+				d.is.Equal(byID(i), "v1")
+			}
+		}
+		d.is.Equal(d.send(request{}).header.Get(caller.HeaderVersion), "v2") // a new session
+		d.platform.SetFaults(failTable(platform.TableSessions))
+		d.is.Equal(byID(1), "v1") // known to the instance
+		d.platformUp()
+		before, _, _ := strings.Cut(d.rules, "rollout =")
+		d.apply(strings.Replace(before, `model = "small", id = "v1", state = "serving"`, `model = "small", id = "v1", state = "withdrawn"`, 1))
+		time.Sleep(settleTime)
+		moved := d.send(request{header: map[string]string{caller.HeaderSession: token}})
+		d.is.Equal(moved.header.Get(caller.HeaderVersion), "v2")
+		d.is.Equal(moved.header.Get(caller.HeaderSessionMoved), "small@v1")
+	})
+}
+
+func TestSlowReaderDoesNotHoldUpOthers(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for _, e := range d.engines {
+			e.Pieces = 100
+			e.Text = func(string, string) string { return strings.Repeat("0123456789", 20_000) }
+			e.Gap = time.Millisecond
+		}
+		for range 40 {
+			response, err := d.open(context.Background(), request{body: completionBody("small", "slow", true)})
+			d.is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			time.Sleep(200 * time.Millisecond)
+		}
+		begin := time.Now()
+		response, err := d.open(context.Background(), request{body: completionBody("small", "fast", true)})
+		d.is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		d.is.NoErr(err)
+		d.is.True(time.Since(begin) < 10*time.Second)
+	})
+}
--- a/node/complete.go
+++ b/node/complete.go
@@ -45,11 +45,9 @@
 }
 
 func (r *completion) run(ctx context.Context) error {
-	plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, r.request.Session)
-	if refused != nil {
-		return refused
+	if err := r.resolve(ctx); err != nil {
+		return err
 	}
-	r.plan = plan
 	r.node.retries.request(r.request.Organisation.ID)
 	if err := r.checkContext(); err != nil {
 		return err
@@ -57,7 +55,7 @@
 	if !r.node.charges.reserve() {
 		return refusal.New(refusal.ChargesPending, "send the request to another instance", "too many charges wait for the platform").After(time.Second)
 	}
-	r.spent = charge.Charge{Request: r.request.ID, Organisation: r.request.Organisation.ID, Class: plan.ClassName()}
+	r.spent = charge.Charge{Request: r.request.ID, Organisation: r.request.Organisation.ID, Class: r.plan.ClassName()}
 	err := r.answer(ctx)
 	if r.spent.At.IsZero() {
 		r.node.charges.unreserve()
@@ -65,6 +63,25 @@
 	return r.asRefusal(err)
 }
 
+// resolve makes the plan and keeps the versions that the session gets. Where
+// another instance has kept the session in the meantime, its versions win.
+func (r *completion) resolve(ctx context.Context) error {
+	for {
+		session := r.request.Session.Clone()
+		plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, session)
+		if refused != nil {
+			return refused
+		}
+		kept := r.node.sessions.keep(ctx, r.request.Session, session)
+		if kept == nil {
+			r.plan = plan
+			r.request.Session = session
+			return nil
+		}
+		r.request.Session = kept
+	}
+}
+
 func (r *completion) checkContext() error {
 	model := r.request.Rules.Models[r.plan.Steps[0].Model]
 	if r.request.MaxTokens > model.ContextTokens {
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -107,19 +107,6 @@
 	return head, "", false
 }
 
-// addresses returns the addresses of up to n random live members.
-func (m *members) addresses(n int) []string {
-	if m == nil {
-		return nil
-	}
-	var addresses []string
-	for _, s := range m.live {
-		addresses = append(addresses, s.Address)
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(n, len(addresses))]
-}
-
 // Rules implements peer.Handler.
 func (p peerHandler) Rules(_ context.Context, q peer.RulesQuery) (peer.RulesResult, error) {
 	s := p.snapshot.Load()
--- a/node/control.go
+++ b/node/control.go
@@ -120,7 +120,7 @@
 	c.node.snapshot.Store(&Snapshot{Head: c.current.Head(), Rules: c.rules})
 	c.node.metrics.revision.Set(float64(c.current.Head().Number))
 	c.node.slots.update(time.Now(), c.rules, c.shares)
-	c.node.member.Store(c.shares.Member())
+	c.node.sharing.Store(c.shares.Any())
 }
 
 // noteLevels spreads the ramp levels that have changed.
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -90,9 +90,9 @@
 		setUp func(d *deployment)
 	}{
 		{name: "no fault", setUp: func(*deployment) {}},
-		{name: "answers of the table are lost", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.LoseAnswer) }},
-		{name: "calls of the table are lost", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.LoseCall) }},
-		{name: "the table refuses now and then", setUp: func(d *deployment) { d.platform.Faults = everyOther(platformfake.Refuse) }},
+		{name: "answers of the table are lost", setUp: func(d *deployment) { d.platform.SetFaults(everyOther(platformfake.LoseAnswer)) }},
+		{name: "calls of the table are lost", setUp: func(d *deployment) { d.platform.SetFaults(everyOther(platformfake.LoseCall)) }},
+		{name: "the table refuses now and then", setUp: func(d *deployment) { d.platform.SetFaults(everyOther(platformfake.Refuse)) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -137,17 +137,17 @@
 func TestHoldWithTheTableDownHasNotRun(t *testing.T) {
 	scenario(t, func(d *deployment) {
 		for _, f := range []platformfake.Fault{platformfake.Refuse, platformfake.LoseCall} {
-			d.platform.Faults = func(c platformfake.Call) platformfake.Fault {
+			d.platform.SetFaults(func(c platformfake.Call) platformfake.Fault {
 				if c.Table == platform.TableCalls {
 					return f
 				}
 				return platformfake.None
-			}
+			})
 			r := d.send(hold(0, "key-1", "bed 12"))
 			d.is.Equal(r.status, 503)
 			d.is.Equal(r.problem.Run, "not-run")
 			d.is.Equal(d.booking.Holds("bed 12"), 0)
-			d.platform.Faults = nil
+			d.platformUp()
 			time.Sleep(5 * time.Second)
 		}
 		// The record of the attempt that was given up doesn't stand in the way.
@@ -264,3 +264,13 @@
 		d.is.Equal(d.ran("small"), 1)
 	})
 }
+
+// failTable makes every call that concerns a table fail.
+func failTable(table string) func(platformfake.Call) platformfake.Fault {
+	return func(c platformfake.Call) platformfake.Fault {
+		if c.Table == table {
+			return platformfake.Refuse
+		}
+		return platformfake.None
+	}
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -104,6 +104,7 @@
 func (c *control) learnActing(e gossip.Entry) {
 	agreed := c.shares.Agreed()
 	c.shares.Acts(strings.TrimPrefix(e.Key, keyEpoch), e.Version)
+	c.showMembers()
 	if c.shares.Agreed() != agreed {
 		c.publish()
 	}
@@ -121,11 +122,16 @@
 		c.noteMember(s)
 	}
 	c.prune()
-	c.node.members.Store(newMembers(c.detector.Self(), c.detector.Members(), c.shares.Epoch()))
+	c.showMembers()
 	c.node.charges.membersChanged(c.node.members.Load())
 	c.keepEpoch(now)
 }
 
+// showMembers makes the members visible to requests.
+func (c *control) showMembers() {
+	c.node.members.Store(newMembers(c.detector.Self(), c.detector.Members(), c.shares))
+}
+
 func (c *control) noteMember(s member.Status) {
 	if s.ID == c.node.identity.ID {
 		return
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -9,8 +9,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,11 +65,14 @@
 	nodes    []*testNode
 	rules    string
 	revision int64
+	// peerSeeds are addresses that instances try before they have the list.
+	peerSeeds []string
 }
 
 type testNode struct {
 	*Node
 	address string
+	store   *nodeStore
 	stop    context.CancelFunc
 	stopped chan error
 }
@@ -140,38 +145,118 @@
 	d.apply(strings.Replace(d.rules, from, to, 1))
 }
 
+// startNode starts an entry instance in a domain.
 func (d *deployment) startNode(domain string) *testNode {
+	i := len(d.nodes)
+	n := d.start(fmt.Sprintf("entry-%d", i), fmt.Sprintf("10.9.0.%d", i), domain)
+	d.nodes = append(d.nodes, n)
+	return n
+}
+
+// start starts an instance at a host.
+func (d *deployment) start(instance, host, domain string) *testNode {
 	s := settings.Default()
-	s.Instance = settings.Instance{ID: "entry-" + domain, FailureDomain: domain}
+	s.Instance = settings.Instance{ID: instance, FailureDomain: domain, Peers: d.peerSeeds}
 	s.Security.AllowPlainText = true
-	address := fmt.Sprintf("10.9.0.%d:8080", len(d.nodes))
-	s.Listen.Callers = address
-	s.Listen.Peers = strings.Replace(address, ":8080", ":8081", 1)
-	s.Listen.Operators = strings.Replace(address, ":8080", ":8082", 1)
-	n := &testNode{
-		Node: New(Config{
-			Settings: s, SessionKey: bytes.Repeat([]byte("k"), 32), Store: d.platform,
-			Log:  &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
-			Dial: d.network.From(domain).DialContext,
-		}),
-		address: address,
-		stopped: make(chan error, 1),
-	}
-	var l Listeners
-	var err error
-	l.Callers, err = d.network.Listen(s.Listen.Callers, domain)
-	d.is.NoErr(err)
-	l.Peers, err = d.network.Listen(s.Listen.Peers, domain)
-	d.is.NoErr(err)
-	l.Operators, err = d.network.Listen(s.Listen.Operators, domain)
+	s.Listen = settings.Listen{Callers: host + ":8080", Peers: host + ":8081", Operators: host + ":8082"}
+	store := &nodeStore{Platform: d.platform}
+	made, err := New(Config{
+		Settings: s, SessionKey: bytes.Repeat([]byte("k"), 32), Store: store,
+		Log:  &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+		Dial: d.network.From(domain).DialContext,
+	})
 	d.is.NoErr(err)
+	n := &testNode{Node: made, address: s.Listen.Callers, store: store, stopped: make(chan error, 1)}
+	var l Listeners
+	for address, listener := range map[string]*net.Listener{s.Listen.Callers: &l.Callers, s.Listen.Peers: &l.Peers, s.Listen.Operators: &l.Operators} {
+		*listener, err = d.network.Listen(address, domain)
+		d.is.NoErr(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go func() { n.stopped <- n.Serve(ctx, l) }()
-	d.nodes = append(d.nodes, n)
 	return n
 }
 
+// A nodeStore is the platform as one instance reaches it.
+type nodeStore struct {
+	*platformfake.Platform
+	cut atomic.Bool // nothing reaches the platform any longer
+}
+
+func (s *nodeStore) err() error {
+	if s.cut.Load() {
+		return &platform.UnavailableError{Op: "any", Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+func (s *nodeStore) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	if err := s.err(); err != nil {
+		return platform.Row{}, err
+	}
+	return s.Platform.Get(ctx, table, key)
+}
+
+func (s *nodeStore) Insert(ctx context.Context, table, key string, v any) (string, error) {
+	if err := s.err(); err != nil {
+		return "", err
+	}
+	return s.Platform.Insert(ctx, table, key, v)
+}
+
+func (s *nodeStore) Replace(ctx context.Context, table, key, version string, v any) (string, error) {
+	if err := s.err(); err != nil {
+		return "", err
+	}
+	return s.Platform.Replace(ctx, table, key, version, v)
+}
+
+func (s *nodeStore) InsertAll(ctx context.Context, table string, rows []platform.Row) error {
+	if err := s.err(); err != nil {
+		return err
+	}
+	return s.Platform.InsertAll(ctx, table, rows)
+}
+
+func (s *nodeStore) GetObject(ctx context.Context, key string) ([]byte, error) {
+	if err := s.err(); err != nil {
+		return nil, err
+	}
+	return s.Platform.GetObject(ctx, key)
+}
+
+func (s *nodeStore) Instances(ctx context.Context) ([]platform.Instance, error) {
+	if err := s.err(); err != nil {
+		return nil, err
+	}
+	return s.Platform.Instances(ctx)
+}
+
+// kill ends an instance at once, as the loss of its machine does.
+func (d *deployment) kill(n *testNode) {
+	n.store.cut.Store(true)
+	for _, port := range []string{":8080", ":8081", ":8082"} {
+		d.network.Break(strings.Replace(n.address, ":8080", port, 1))
+	}
+	n.Abort()
+	<-n.stopped
+	n.stopped <- nil
+}
+
+// replace starts another instance on the host of one that has ended.
+func (d *deployment) replace(i int) {
+	old := d.nodes[i]
+	d.nodes[i] = d.start(old.identity.Instance, strings.TrimSuffix(old.address, ":8080"), old.identity.FailureDomain)
+}
+
+// platformDown makes every call to the platform fail.
+func (d *deployment) platformDown() {
+	d.platform.SetFaults(func(platformfake.Call) platformfake.Fault { return platformfake.LoseCall })
+}
+
+func (d *deployment) platformUp() { d.platform.SetFaults(nil) }
+
 // list gives the platform's list the running instances.
 func (d *deployment) list() {
 	var instances []platform.Instance
--- a/node/members.go
+++ b/node/members.go
@@ -11,16 +11,20 @@
 // members is an immutable view of the other instances, for requests and
 // background work.
 type members struct {
-	self  member.Status
-	live  []member.Status // live and not leaving, other failure domains first
-	epoch slot.Epoch
+	self   member.Status
+	live   []member.Status // live and not leaving, other failure domains first
+	acting []member.Status // those of live that act on an epoch, and so may have shares
 }
 
-func newMembers(self member.Status, all []member.Status, epoch slot.Epoch) *members {
-	m := &members{self: self, epoch: epoch}
+func newMembers(self member.Status, all []member.Status, shares *slot.Shares) *members {
+	m := &members{self: self}
 	for _, s := range all {
-		if s.State == member.Live {
-			m.live = append(m.live, s)
+		if s.State != member.Live {
+			continue
+		}
+		m.live = append(m.live, s)
+		if shares.Acting(s.ID) > 0 {
+			m.acting = append(m.acting, s)
 		}
 	}
 	slices.SortStableFunc(m.live, func(a, b member.Status) int {
@@ -36,16 +40,27 @@
 	return 0
 }
 
-// sharers returns the addresses of up to n random live members of the epoch.
+// sharers returns the addresses of up to n random live members that may have
+// shares.
 func (m *members) sharers(n int) []string {
 	if m == nil {
 		return nil
 	}
-	var addresses []string
-	for _, s := range m.live {
-		if m.epoch.Has(s.ID) {
-			addresses = append(addresses, s.Address)
-		}
+	return pickAddresses(m.acting, n)
+}
+
+// addresses returns the addresses of up to n random live members.
+func (m *members) addresses(n int) []string {
+	if m == nil {
+		return nil
+	}
+	return pickAddresses(m.live, n)
+}
+
+func pickAddresses(from []member.Status, n int) []string {
+	addresses := make([]string, 0, len(from))
+	for _, s := range from {
+		addresses = append(addresses, s.Address)
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(n, len(addresses))]
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"crypto/rand"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,17 +63,24 @@
 	engines    engine.Client
 	services   *service.Client
 	peers      *peer.Client
-	traffic    peer.Traffic
-	log        log.Interface
-	metrics    *Metrics
-	handler    *caller.Handler
+	// TLS between instances; nil means plain text.
+	peerClientTLS *tls.Config
+	peerServerTLS *tls.Config
+	traffic       peer.Traffic
+	log           log.Interface
+	metrics       *Metrics
+	handler       *caller.Handler
+	handOver      *handOver
+	aborted       chan struct{}
+	abortOnce     sync.Once
 
 	snapshot atomic.Pointer[Snapshot]
 	members  atomic.Pointer[members]
-	member   atomic.Bool // the instance has shares of its own
+	sharing  atomic.Bool // the instance has shares of its own
 	leaving  atomic.Bool
 	slots    *slots
 	charges  *charges
+	sessions *sessions
 	retries  *retries
 	events   chan event // to the control goroutine
 	// background counts what outlives its request and ends before the
@@ -90,13 +96,10 @@
 	Log        log.Interface
 	// Dial opens connections to upstreams and other instances; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// PeerTLS is the client configuration for other instances; nil means plain
-	// text.
-	PeerTLS *tls.Config
 }
 
 // New returns an instance that has not started.
-func New(c Config) *Node {
+func New(c Config) (*Node, error) {
 	n := &Node{
 		settings:   c.Settings,
 		identity:   newIdentity(&c.Settings),
@@ -107,13 +110,20 @@
 		metrics:    newMetrics(),
 		retries:    newRetries(),
 		events:     make(chan event, eventBacklog),
+		aborted:    make(chan struct{}),
+	}
+	var err error
+	if n.peerClientTLS, n.peerServerTLS, err = peerTLS(&c.Settings.Security); err != nil {
+		return nil, err
 	}
 	n.log = c.Log.WithField("instance", n.identity.ID)
 	n.slots = newSlots(n.identity.ID, n.identity.FailureDomain)
-	n.peers = peer.NewClient(c.Dial, c.PeerTLS, &n.traffic)
+	n.peers = peer.NewClient(c.Dial, n.peerClientTLS, &n.traffic)
 	n.charges = newCharges(n)
+	n.sessions = newSessions(c.Store)
 	n.handler = caller.New(n, callerLimits(&c.Settings))
-	return n
+	n.handOver = newHandOver(n, c.Dial, n.peerClientTLS)
+	return n, nil
 }
 
 // startIDLength is the length of the random part of an instance's identifier.
@@ -145,9 +155,6 @@
 // ID returns the identifier of this start of the instance.
 func (n *Node) ID() string { return n.identity.ID }
 
-// Handler serves callers.
-func (n *Node) Handler() http.Handler { return n.handler }
-
 // Rules implements caller.Router.
 func (n *Node) Rules() (*rules.Set, int64) {
 	s := n.snapshot.Load()
@@ -157,5 +164,11 @@
 	return s.Rules, s.Head.Number
 }
 
-// Ready reports whether the instance should get requests.
-func (n *Node) Ready() bool { return n.snapshot.Load() != nil && !n.leaving.Load() }
+// Ready reports whether the instance should get requests: it has rules, and
+// either shares of its own or another instance to hand requests over to.
+func (n *Node) Ready() bool {
+	if n.snapshot.Load() == nil || n.leaving.Load() {
+		return false
+	}
+	return n.sharing.Load() || len(n.members.Load().sharers(1)) > 0
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -66,25 +66,60 @@
 	peers := peer.NewServer(peerHandler{n}, &n.traffic)
 	defer peers.Close()
 	n.start(work)
-	callers := n.newServer(n.handler)
-	operators := n.newServer(operator.New(n))
-	failed := make(chan error, 3)
-	go func() { failed <- serve(callers, l.Callers, callerTLS) }()
-	go func() { failed <- serve(operators, l.Operators, nil) }()
-	go func() { failed <- peers.Serve(work, l.Peers) }()
+	rpc, handedOver := peer.Split(work, secured(l.Peers, n.peerServerTLS))
+	servers := servers{
+		callers:    n.newServer(n.handOver),
+		handedOver: n.newServer(n.handler),
+		operators:  n.newServer(operator.New(n)),
+	}
+	failed := make(chan error, 4)
+	go func() { failed <- serve(servers.callers, secured(l.Callers, callerTLS)) }()
+	go func() { failed <- serve(servers.handedOver, handedOver) }()
+	go func() { failed <- serve(servers.operators, l.Operators) }()
+	go func() { failed <- peers.Serve(work, rpc) }()
 	defer l.close()
+	defer servers.close()
 	select {
 	case err := <-failed:
 		return err
+	case <-n.aborted:
+		return ErrAborted
 	case <-ctx.Done():
 	}
-	return n.shutdown(callers, operators)
+	return n.shutdown(servers)
+}
+
+// ErrAborted reports an instance that was told to end at once.
+var ErrAborted = errors.New("the instance was ended at once: requests may have been cut")
+
+// Abort ends the instance at once, without waiting for its requests.
+func (n *Node) Abort() { n.abortOnce.Do(func() { close(n.aborted) }) }
+
+// servers are the HTTP servers of an instance.
+type servers struct {
+	callers    *http.Server
+	handedOver *http.Server
+	operators  *http.Server
+}
+
+func (s *servers) close() {
+	for _, one := range [...]*http.Server{s.callers, s.handedOver, s.operators} {
+		_ = one.Close()
+	}
+}
+
+// secured adds TLS to a listener where it is configured.
+func secured(l net.Listener, c *tls.Config) net.Listener {
+	if c == nil {
+		return l
+	}
+	return tls.NewListener(l, c)
 }
 
 // start runs the goroutines that requests depend on until the context ends.
 func (n *Node) start(ctx context.Context) {
 	c := newControl(ctx, n)
-	n.members.Store(newMembers(c.detector.Self(), nil, c.shares.Epoch()))
+	c.showMembers()
 	go c.run()
 	go n.poll(ctx)
 	go n.charges.run(ctx)
@@ -101,10 +136,7 @@
 	}
 }
 
-func serve(s *http.Server, l net.Listener, c *tls.Config) error {
-	if c != nil {
-		l = tls.NewListener(l, c)
-	}
+func serve(s *http.Server, l net.Listener) error {
 	err := s.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -118,25 +150,46 @@
 func (leavingBegun) apply(c *control) { c.detector.Leave() }
 
 // shutdown stops the instance without cutting a request.
-func (n *Node) shutdown(callers, operators *http.Server) error {
+func (n *Node) shutdown(s servers) error {
 	n.leaving.Store(true)
 	n.send(context.Background(), leavingBegun{})
 	n.log.Info("leaving")
+	drained := make(chan error, 1)
+	go func() { drained <- n.drain(s) }()
+	select {
+	case err := <-drained:
+		n.log.Info("left")
+		return err
+	case <-n.aborted:
+		return ErrAborted
+	}
+}
+
+// drain waits for the balancer to notice, for every request, and for the
+// charges, and passes the shares on.
+func (n *Node) drain(s servers) error {
 	time.Sleep(time.Duration(n.settings.Timeouts.Announce))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Timeouts.Drain))
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	n.background.Wait()
-	flushCtx, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
-	defer cancelFlush()
-	for !n.charges.flush(flushCtx) && flushCtx.Err() == nil {
-		pause(flushCtx, time.Second)
+	err := s.callers.Shutdown(ctx)
+	if handedOverErr := s.handedOver.Shutdown(ctx); err == nil {
+		err = handedOverErr
 	}
+	n.background.Wait()
+	n.flushAll()
 	n.leaveEpoch(context.Background())
 	n.engines.Close()
 	n.peers.Close()
 	n.services.Close()
-	_ = operators.Close()
-	n.log.Info("left")
 	return errors.Wrap(err, "requests were still running after timeouts.drain")
 }
+
+// flushAll writes the last charges. Where the table can't be reached, those who
+// hold copies write them later.
+func (n *Node) flushAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	for !n.charges.flush(ctx) && ctx.Err() == nil {
+		pause(ctx, time.Second)
+	}
+}
--- a/node/status.go
+++ b/node/status.go
@@ -37,7 +37,7 @@
 	for _, v := range views {
 		list = append(list, operator.UpstreamStatus{
 			ID: v.ID, InService: v.InService, Warm: int(v.Level.Percent),
-			Requests: v.Requests, Limit: v.Limit, Reachable: v.Reachable,
+			Requests: v.Requests, Share: v.Share, Limit: v.Limit, Reachable: v.Reachable,
 		})
 	}
 	return list
--- a/node/tls.go
+++ b/node/tls.go
@@ -2,10 +2,13 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"os"
 	"sync"
 	"time"
 
+	"banyanyard/node/settings"
+
 	"github.com/pkg/errors"
 )
 
@@ -32,6 +35,62 @@
 	}, nil
 }
 
+// peerTLS returns the configurations for calling and for serving other
+// instances, or nil for plain text. Each side shows its certificate, and the
+// other accepts it when an authority of instance-ca-file has signed it: peers
+// are found by address, so that their names are not checked.
+func peerTLS(s *settings.Security) (client, server *tls.Config, err error) {
+	if s.InstanceCertFile == "" {
+		return nil, nil, nil
+	}
+	c := &certificate{certFile: s.InstanceCertFile, keyFile: s.InstanceKeyFile}
+	if _, err := c.get(time.Now()); err != nil {
+		return nil, nil, err
+	}
+	roots, err := readRoots(s.InstanceCAFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	server = &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		ClientAuth:     tls.RequireAndVerifyClientCert,
+		ClientCAs:      roots,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.get(time.Now()) },
+	}
+	client = &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c.get(time.Now()) },
+		InsecureSkipVerify:   true, // VerifyConnection checks the chain without the name
+		VerifyConnection:     func(state tls.ConnectionState) error { return verifyPeer(state, roots) },
+	}
+	return client, server, nil
+}
+
+func readRoots(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "security.instance-ca-file cannot be read")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("security.instance-ca-file %s holds no certificate: write PEM certificates into it", file)
+	}
+	return roots, nil
+}
+
+func verifyPeer(state tls.ConnectionState, roots *x509.CertPool) error {
+	options := x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
+	for _, c := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(options)
+	return err
+}
+
 // A certificate is read from files again when they change, so that it can be
 // renewed without a restart. While the new files are damaged, the old
 // certificate stays in use.
