core/dispatch: a ticket keeps the rule of its grant

Cause: the race detector saw a request read an upstream's rule while the control goroutine replaced it. Change: the ticket remembers the rule as it was at the grant. Measured: go test -race ./node ./io/... clean (before: 1 kind of race).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -351,6 +351,7 @@
 	u.give(t)
 	u.observe(now, t.epoch, o, firstToken)
 	t.upstream = nil
+	t.rule = nil
 	p := d.pools[t.Pool]
 	if p == nil {
 		return
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -31,20 +31,16 @@
 	// must not block.
 	OnRefuse func(*Ticket, error)
 
-	upstream *upstream // set while granted
-	held     int       // tokens that it holds at upstream
-	epoch    uint32    // ramp epoch at the grant
+	upstream *upstream       // set while granted
+	rule     *rules.Upstream // of upstream, as it was at the grant
+	held     int             // tokens that it holds at upstream
+	epoch    uint32          // ramp epoch at the grant
 	waiting  bool
 	granted  time.Time // when upstream was set
 }
 
 // Upstream returns the granted upstream, or nil.
-func (t *Ticket) Upstream() *rules.Upstream {
-	if t.upstream == nil {
-		return nil
-	}
-	return t.upstream.rule
-}
+func (t *Ticket) Upstream() *rules.Upstream { return t.rule }
 
 // Granted returns when the ticket got its slot.
 func (t *Ticket) Granted() time.Time { return t.granted }
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -69,6 +69,7 @@
 	t.held = u.tokensOf(t)
 	u.tokensHeld += t.held
 	t.upstream = u
+	t.rule = u.rule
 	t.granted = now
 	t.epoch = u.ramp.Level().Epoch
 	t.waiting = false
