--- /dev/null
+++ b/cmd/banyanyard/rulesstatus.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"banyanyard/io/operator"
+
+	"github.com/spf13/cobra"
+)
+
+// statusTimeout bounds the wait for one instance.
+const statusTimeout = 3 * time.Second
+
+func newRulesStatus() *cobra.Command {
+	var instance string
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Show which instances have which revision in force",
+		Long: `Ask one instance what it knows about all: the revision that each has in force,
+whether it can be reached, and since when not.`,
+		Example: "  banyanyard rules status --instance http://10.0.0.11:8082",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := fetchStatus(c.Context(), instance)
+			if err != nil {
+				return err
+			}
+			return printStatus(c.OutOrStdout(), s)
+		},
+	}
+	c.Flags().StringVar(&instance, "instance", "http://127.0.0.1:8082", "operators' address of any instance")
+	return c
+}
+
+func fetchStatus(ctx context.Context, base string) (*operator.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+"/status", nil)
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("the instance cannot be reached (%w): name another with --instance", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.New("the address is not an operators' address: use listen.operators of an instance")
+	}
+	var s operator.Status
+	return &s, json.NewDecoder(response.Body).Decode(&s)
+}
+
+func printStatus(out io.Writer, s *operator.Status) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "INSTANCE\tFAILURE DOMAIN\tSTATE\tREVISION\tSINCE")
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.ID, m.FailureDomain, m.State, m.Revision, since(m.Since))
+	}
+	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tWARM\tHELD\tLIMIT\tSHARE")
+	for _, u := range s.Upstreams {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d%%\t%d\t%d\t%d\n", u.ID, upstreamState(u), u.Warm, u.Requests, u.Limit, u.Share)
+	}
+	return w.Flush()
+}
+
+func since(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.Format(time.RFC3339)
+}
+
+func upstreamState(u operator.UpstreamStatus) string {
+	switch {
+	case !u.InService:
+		return "out"
+	case !u.Reachable:
+		return "unreachable"
+	}
+	return "in"
+}
--- a/core/charge/charge_test.go
+++ b/core/charge/charge_test.go
@@ -32,7 +32,7 @@
 		var custody Custody
 		made := 0
 		t.Repeat(map[string]func(*rapid.T){
-			"charge": func(t *rapid.T) {
+			"charge": func(*rapid.T) {
 				owner.Reserve()
 				n := owner.Add(Charge{Request: fmt.Sprintf("r%d", made)})
 				custody.Hold("owner", []Numbered{n})
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 )
@@ -28,9 +29,19 @@
 	Revision       int64            `json:"revision"`
 	PendingCharges int              `json:"pending-charges"`
 	HeldBytes      int64            `json:"held-bytes"`
+	Members        []MemberStatus   `json:"members"` // this instance first
 	Upstreams      []UpstreamStatus `json:"upstreams"`
 }
 
+// A MemberStatus is what the instance knows about one entry instance.
+type MemberStatus struct {
+	ID            string    `json:"id"`
+	FailureDomain string    `json:"failure-domain"`
+	State         string    `json:"state"`    // live, leaving, suspect or gone
+	Since         time.Time `json:"since"`    // when State was learnt
+	Revision      int64     `json:"revision"` // in force there, as far as is known
+}
+
 // An UpstreamStatus is the instance's view of one upstream.
 type UpstreamStatus struct {
 	ID        string `json:"id"`
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -40,8 +40,9 @@
 	if data, err := json.Marshal(e.head); err == nil {
 		c.gossip.Put(gossip.Entry{Key: keyHead, Version: uint64(e.head.Number), Data: data})
 	}
+	c.gossip.Put(gossip.Entry{Key: keyForce + c.node.identity.ID, Version: uint64(e.head.Number)})
 	c.publish()
-	c.keepEpoch(time.Now())
+	c.keepEpoch()
 	c.node.log.WithField("revision", e.head.Number).WithField("by", e.head.By).Info("rules in force")
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -19,6 +19,7 @@
 	keyMember = "member/" // status of a member, by identifier
 	keyRamp   = "ramp/"   // ramp level of an upstream
 	keyEpoch  = "epoch/"  // epoch that a member acts on
+	keyForce  = "force/"  // revision that a member has in force
 )
 
 const (
@@ -124,7 +125,7 @@
 	c.prune()
 	c.showMembers()
 	c.node.charges.membersChanged(c.node.members.Load())
-	c.keepEpoch(now)
+	c.keepEpoch()
 }
 
 // showMembers makes the members visible to requests.
@@ -145,7 +146,7 @@
 // prune forgets what gossip holds about members that are forgotten.
 func (c *control) prune() {
 	for key := range c.gossip.Digest() {
-		id, ok := strings.CutPrefix(key, keyEpoch)
+		id, ok := ownerOf(key)
 		if !ok || id == c.node.identity.ID {
 			continue
 		}
@@ -157,6 +158,16 @@
 	}
 }
 
+// ownerOf returns the member that alone writes a key.
+func ownerOf(key string) (string, bool) {
+	for _, prefix := range [...]string{keyEpoch, keyForce} {
+		if id, ok := strings.CutPrefix(key, prefix); ok {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // syncWithOne compares everything with one live member now and then, so that
 // gossip which was lost arrives in the end.
 func (c *control) syncWithOne(now time.Time) {
--- /dev/null
+++ b/node/settings/doc.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"banyanyard/core/strict"
+)
+
+const docHeader = `# Settings of an entry instance
+
+One TOML file, given to ` + "`banyanyard serve --settings FILE`" + `. A key that is not
+listed here is an error. This page is generated from the declarations in
+node/settings; a test compares the two.
+`
+
+// Document returns docs/SETTINGS.md.
+func Document() string {
+	var b strings.Builder
+	b.WriteString(docHeader)
+	defaults := reflect.ValueOf(Default())
+	for i := range defaults.NumField() {
+		field := defaults.Type().Field(i)
+		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| key | default | meaning |\n| --- | --- | --- |\n", strict.Key(field), field.Tag.Get("doc"))
+		documentTable(&b, strict.Key(field), defaults.Field(i))
+	}
+	return b.String()
+}
+
+func documentTable(b *strings.Builder, table string, v reflect.Value) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		fmt.Fprintf(b, "| `%s.%s` | %s | %s |\n", table, strict.Key(field), defaultText(v.Field(i)), field.Tag.Get("doc"))
+	}
+}
+
+func defaultText(v reflect.Value) string {
+	if v.IsZero() && v.Kind() != reflect.Bool {
+		return "none"
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
--- a/node/shares.go
+++ b/node/shares.go
@@ -31,7 +31,7 @@
 
 func (e epochRead) apply(c *control) {
 	c.seen(e.epoch)
-	c.keepEpoch(time.Now())
+	c.keepEpoch()
 }
 
 // seen adopts an epoch that is newer than the one acted on.
@@ -45,7 +45,7 @@
 
 // keepEpoch changes the epoch in the table when this instance isn't in it, when
 // members have ended, or when limits have changed.
-func (c *control) keepEpoch(now time.Time) {
+func (c *control) keepEpoch() {
 	if c.changing || c.rules == nil || c.detector.Self().State == member.Leaving {
 		return
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -1,11 +1,44 @@
 package node
 
 import (
+	"context"
 	"time"
 
+	"banyanyard/core/member"
 	"banyanyard/io/operator"
 )
 
+// memberStatusTimeout bounds the wait for the control goroutine.
+const memberStatusTimeout = time.Second
+
+// statusAsked asks for what is known about all instances.
+type statusAsked struct {
+	answer chan<- []operator.MemberStatus
+}
+
+func (e statusAsked) apply(c *control) {
+	all := append([]member.Status{c.detector.Self()}, c.detector.Members()...)
+	list := make([]operator.MemberStatus, 0, len(all))
+	for _, s := range all {
+		force, _ := c.gossip.Get(keyForce + s.ID)
+		list = append(list, operator.MemberStatus{
+			ID: s.ID, FailureDomain: s.FailureDomain, State: s.State.String(), Since: s.Since, Revision: int64(force.Version),
+		})
+	}
+	e.answer <- list
+}
+
+func (n *Node) memberStatus() []operator.MemberStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), memberStatusTimeout)
+	defer cancel()
+	answer := make(chan []operator.MemberStatus, 1)
+	list, err := ask(ctx, n, statusAsked{answer: answer}, answer)
+	if err != nil {
+		return nil
+	}
+	return list
+}
+
 // Status implements operator.Instance.
 func (n *Node) Status() operator.Status {
 	s := operator.Status{
@@ -15,6 +48,7 @@
 		Leaving:        n.leaving.Load(),
 		PendingCharges: n.charges.pending(),
 		HeldBytes:      n.handler.HeldBytes(),
+		Members:        n.memberStatus(),
 		Upstreams:      n.slots.status(time.Now()),
 	}
 	if snapshot := n.snapshot.Load(); snapshot != nil {
