io/engine: HTTP on connections of its own; whole answers without a second goroutine

Profiles: log entries built for every answer, metric look-ups by label, two JSON passes over the body, http.Transport's goroutines, and a goroutine for answers that don't stream. Ruled out: the collector (GOGC 100 to 800 changed nothing), lock contention. The transport also repeats requests by itself. Change: each of these; parsing by jsonparser, checked by a fuzz target; TCP user timeout and keep-alives in io/tcp.

--- a/core/charge/charge.go
+++ b/core/charge/charge.go
@@ -97,7 +97,8 @@
 	if len(o.writing) == 0 {
 		n := min(MaxBatch, len(o.waiting))
 		o.writing = slices.Clone(o.waiting[:n])
-		o.waiting = slices.Delete(o.waiting, 0, n)
+		// The rest is not moved: append drops what is before it when it grows.
+		o.waiting = o.waiting[n:]
 	}
 	return o.writing
 }
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -3,28 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"math"
 	"net/http"
 	"strconv"
 
 	"banyanyard/core/refusal"
+
+	"github.com/buger/jsonparser"
 )
 
 // bytesPerToken estimates the tokens of a prompt from its size.
 const bytesPerToken = 4
 
-// completionFields are the members of a completion that the router reads.
-// Others pass through unread.
-type completionFields struct {
-	Model               string            `json:"model"`
-	Stream              bool              `json:"stream"`
-	MaxTokens           int               `json:"max_tokens"`
-	MaxCompletionTokens int               `json:"max_completion_tokens"`
-	Messages            []json.RawMessage `json:"messages"`
-	StreamOptions       struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	c, err := h.readCompletion(w, r)
 	if err != nil {
@@ -43,11 +34,16 @@
 		return
 	}
 	c.Session = s
-	h.answer(ctx, cancel, w, c)
+	if c.Stream {
+		h.stream(ctx, cancel, w, c)
+		return
+	}
+	out := &wholeOutput{writer: w, handler: h, account: h.memory.account(c.Organisation.ID)}
+	out.finish(h.router.Complete(ctx, c, out))
 }
 
-// answer runs the router beside the goroutine that writes to the caller.
-func (h *Handler) answer(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, c *Completion) {
+// stream runs the router beside the goroutine that writes to the caller.
+func (h *Handler) stream(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, c *Completion) {
 	out := newOutput(h.memory, h.limits, c)
 	go func() {
 		out.finish(h.router.Complete(ctx, c, out))
@@ -77,45 +73,101 @@
 	return c, nil
 }
 
+// parseCompletion reads the members that the router needs. Others pass through
+// unread.
 func parseCompletion(body []byte) (*Completion, *refusal.Error) {
-	var known completionFields
-	if err := json.Unmarshal(body, &known); err != nil {
-		return nil, refusal.New(refusal.BadRequest, "send a chat completion as a JSON object", "the body is not valid (%v)", err)
+	if !json.Valid(body) {
+		return nil, refusal.New(refusal.BadRequest, "send a chat completion as a JSON object", "the body is not valid JSON")
 	}
-	if known.Model == "" {
+	c := &Completion{Fields: make(map[string]json.RawMessage, typicalFields)}
+	err := jsonparser.ObjectEach(body, func(key, value []byte, kind jsonparser.ValueType, end int) error {
+		name := string(key)
+		c.Fields[name] = rawValue(body, value, kind, end)
+		return c.setField(name, value, kind)
+	})
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "send a chat completion as a JSON object", "the body is not an object (%v)", err)
+	}
+	if c.Name == "" {
 		return nil, refusal.New(refusal.BadRequest, "set model to a name that GET /v1/models lists", "the body names no model")
 	}
-	if len(known.Messages) == 0 {
+	if c.Prompt == 0 {
 		return nil, refusal.New(refusal.BadRequest, "set messages to the messages of the chat", "the body has no messages")
 	}
-	if known.MaxTokens < 0 || known.MaxCompletionTokens < 0 {
-		return nil, refusal.New(refusal.BadRequest, "set it to a positive number or leave it out", "the limit of tokens is negative")
+	return c, nil
+}
+
+// typicalFields is the number of members that most completions have.
+const typicalFields = 6
+
+// rawValue returns a value as it stands in the body. The parser leaves out the
+// quotes of strings, which stand around it.
+func rawValue(body, value []byte, kind jsonparser.ValueType, end int) json.RawMessage {
+	if kind != jsonparser.String {
+		return value
 	}
-	c := &Completion{
-		Name:      known.Model,
-		Stream:    known.Stream,
-		Usage:     known.StreamOptions.IncludeUsage,
-		MaxTokens: max(known.MaxTokens, known.MaxCompletionTokens),
+	return body[end-len(value)-2 : end]
+}
+
+// setField reads one member of the body.
+func (c *Completion) setField(name string, value []byte, kind jsonparser.ValueType) error {
+	var err error
+	switch name {
+	case "model":
+		if kind != jsonparser.String {
+			return badMember(name, "a string")
+		}
+		c.Name, err = jsonparser.ParseString(value)
+	case "stream":
+		c.Stream, err = jsonparser.ParseBoolean(value)
+	case "max_tokens", "max_completion_tokens":
+		var n int64
+		n, err = jsonparser.ParseInt(value)
+		if err != nil || n < 0 {
+			return badMember(name, "a number that is not negative")
+		}
+		c.MaxTokens = max(c.MaxTokens, int(min(n, math.MaxInt32)))
+	case "messages":
+		if kind != jsonparser.Array {
+			return badMember(name, "an array")
+		}
+		_, err = jsonparser.ArrayEach(value, func(message []byte, _ jsonparser.ValueType, _ int, _ error) {
+			c.Prompt += len(message)/bytesPerToken + 1
+		})
+		if errors.Is(err, jsonparser.MalformedObjectError) || len(value) <= len("[]") {
+			err = nil
+		}
+	case "stream_options":
+		c.Usage, _ = jsonparser.GetBoolean(value, "include_usage")
 	}
-	for _, m := range known.Messages {
-		c.Prompt += len(m)/bytesPerToken + 1
+	if err != nil {
+		return badMember(name, "of another type")
 	}
-	// The body is known to be an object.
-	_ = json.Unmarshal(body, &c.Fields)
-	return c, nil
+	return nil
+}
+
+func badMember(name, want string) *refusal.Error {
+	return refusal.New(refusal.BadRequest, "correct the member as the API describes it", "%s must be %s", name, want)
 }
 
-// setMeta writes the headers of an answer.
+// setMeta writes the headers of an answer. The values share one array, and the
+// names are in canonical form, since this is done for every answer.
 func setMeta(w http.ResponseWriter, m Meta, router Router) {
+	token, err := router.SealSession(m.Session)
+	values := [...]string{m.Target.Model, m.Target.Version, m.Upstream, strconv.FormatInt(m.Revision, 10), token}
 	h := w.Header()
-	h.Set(HeaderModel, m.Target.Model)
-	h.Set(HeaderVersion, m.Target.Version)
-	h.Set(HeaderUpstream, m.Upstream)
-	h.Set(HeaderRevision, strconv.FormatInt(m.Revision, 10))
+	h[HeaderModel] = values[0:1:1]
+	h[HeaderVersion] = values[1:2:2]
+	h[HeaderUpstream] = values[2:3:3]
+	h[HeaderRevision] = values[3:4:4]
+	if err == nil {
+		h[HeaderSession] = values[4:5:5]
+	}
 	if m.Moved.Model != "" {
 		h.Set(HeaderSessionMoved, m.Moved.String())
 	}
-	if token, err := router.SealSession(m.Session); err == nil {
-		h.Set(HeaderSession, token)
-	}
 }
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -15,13 +15,12 @@
 	doneEvent  = "data: [DONE]\n\n"
 )
 
-// An output is the bounded buffer between a router and a caller. The router
-// fills it from one goroutine; the handler's goroutine writes it out.
+// An output is the bounded buffer between a router and a caller of a stream. The
+// router fills it from one goroutine; the handler's goroutine writes it out.
 type output struct {
 	memory   *memory
 	account  *atomic.Int64
 	limits   Limits
-	stream   bool
 	finished chan struct{} // closed when the router has returned
 
 	mu      sync.Mutex
@@ -40,7 +39,6 @@
 		memory:   m,
 		account:  m.account(c.Organisation.ID),
 		limits:   l,
-		stream:   c.Stream,
 		finished: make(chan struct{}),
 		filled:   make(chan struct{}, 1),
 		drained:  make(chan struct{}, 1),
@@ -122,21 +120,18 @@
 	}
 }
 
-// Whole implements Output.
-func (o *output) Whole(body []byte) { o.last(body) }
+// Whole implements Output. A stream has no whole answer.
+func (o *output) Whole([]byte) {}
 
-// Done implements Output.
-func (o *output) Done() { o.last([]byte(doneEvent)) }
-
-// last takes the end of an answer, for which there is always room.
-func (o *output) last(data []byte) {
+// Done implements Output. There is always room for the end of an answer.
+func (o *output) Done() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.dropped {
 		return
 	}
-	o.memory.force(o.account, int64(len(data)))
-	o.pending = append(o.pending, data...)
+	o.memory.force(o.account, int64(len(doneEvent)))
+	o.pending = append(o.pending, doneEvent...)
 }
 
 // finish records how the router ended.
@@ -184,7 +179,7 @@
 			continue
 		}
 		if !begun {
-			o.writeHeader(w, *meta, router)
+			writeStreamHeader(w, *meta, router)
 			begun = true
 		}
 		writeErr := o.write(w, control, data)
@@ -207,14 +202,10 @@
 	signal(o.drained)
 }
 
-func (o *output) writeHeader(w http.ResponseWriter, m Meta, router Router) {
+func writeStreamHeader(w http.ResponseWriter, m Meta, router Router) {
 	setMeta(w, m, router)
-	if o.stream {
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("Cache-Control", "no-store")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
 }
 
 func (o *output) write(w http.ResponseWriter, control *http.ResponseController, data []byte) error {
@@ -224,21 +215,15 @@
 	if _, err := w.Write(data); err != nil {
 		return err
 	}
-	if !o.stream {
-		return nil
-	}
 	return control.Flush()
 }
 
-// writeEnd ends an answer that has begun. An answer that isn't whole must not
-// look like one: a stream gets an error event, anything else is cut.
+// writeEnd ends a stream that has begun. One that isn't whole must not look like
+// one, and gets an error event.
 func (o *output) writeEnd(w http.ResponseWriter, control *http.ResponseController, err error) error {
 	if err == nil {
 		return nil
 	}
-	if !o.stream {
-		panic(http.ErrAbortHandler)
-	}
 	event, marshalErr := json.Marshal(newProblem(asRefusal(err)))
 	if marshalErr != nil {
 		return marshalErr
--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/buger/jsonparser"
@@ -30,56 +31,65 @@
 
 // An Answer is an engine's answer to one attempt. It is used by one goroutine.
 type Answer struct {
+	ctx      context.Context
 	client   *Client
+	conn     *conn
 	attempt  Attempt
 	response *http.Response
-	reader   *bufio.Reader
-	watch    *watchdog
-	cancel   context.CancelFunc
+	reader   *bufio.Reader // of a stream; nil for a whole answer
 	wantID   []byte
 	usage    Usage
 	lastID   []byte // id of the newest event; empty when the engine sends none
 	done     bool
 }
 
-func newAnswer(c *Client, a Attempt, response *http.Response, watch *watchdog, cancel context.CancelFunc) *Answer {
-	return &Answer{
+func newAnswer(ctx context.Context, c *Client, cn *conn, a Attempt, response *http.Response) *Answer {
+	answer := &Answer{
+		ctx:      ctx,
 		client:   c,
+		conn:     cn,
 		attempt:  a,
 		response: response,
-		reader:   bufio.NewReaderSize(response.Body, readBufferBytes),
-		watch:    watch,
-		cancel:   cancel,
 		wantID:   []byte(IDPrefix + a.ID),
 	}
+	if a.Stream {
+		answer.reader = bufio.NewReaderSize(response.Body, readBufferBytes)
+	}
+	return answer
 }
 
 // Whole reads the answer to an attempt that does not stream.
 func (a *Answer) Whole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.reader, maxWholeBytes))
+	body, err := readAll(a.response)
 	if err != nil {
 		return nil, a.readError(err)
 	}
 	if !a.owns(body) {
 		return nil, &ForeignAnswerError{Upstream: a.attempt.Upstream, Want: a.attempt.ID}
 	}
-	var whole struct {
-		Usage Usage `json:"usage"`
-	}
-	if err := json.Unmarshal(body, &whole); err != nil {
-		return nil, &BrokenError{Upstream: a.attempt.Upstream, Cause: err}
-	}
-	a.usage = whole.Usage
+	a.ReadUsage(body)
 	a.done = true
 	return body, nil
 }
 
+// readAll reads a body of up to maxWholeBytes.
+func readAll(response *http.Response) ([]byte, error) {
+	if n := response.ContentLength; n >= 0 && n <= maxWholeBytes {
+		body := make([]byte, n)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxWholeBytes))
+}
+
 // Next returns the data of the next piece of a stream, without the event's
 // framing. The slice is valid until the following call. It returns io.EOF after
 // the engine has said that the answer is whole, and never before.
 func (a *Answer) Next() ([]byte, error) {
 	for {
-		a.watch.arm(a.attempt.Gap)
+		if a.reader.Buffered() == 0 {
+			a.conn.within(a.attempt.Gap)
+		}
 		line, err := a.readLine()
 		if err != nil {
 			return nil, a.readError(err)
@@ -91,7 +101,6 @@
 		}
 		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, doneData) {
-			a.watch.arm(0)
 			a.done = true
 			return nil, io.EOF
 		}
@@ -130,20 +139,19 @@
 	return long, err
 }
 
-// Buffered reports whether more of the answer has already arrived.
-func (a *Answer) Buffered() bool { return a.reader.Buffered() > 0 }
-
 func (a *Answer) owns(data []byte) bool {
 	id, _, _, err := jsonparser.Get(data, idKey...)
 	return err == nil && bytes.Equal(id, a.wantID)
 }
 
 func (a *Answer) readError(err error) error {
-	if a.watch.expired() {
+	switch {
+	case a.ctx.Err() != nil:
+		err = a.ctx.Err()
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.client.Replace(a.attempt.Upstream)
 		return &SilentError{Upstream: a.attempt.Upstream, After: a.attempt.Gap}
-	}
-	if errors.Is(err, io.EOF) {
+	case errors.Is(err, io.EOF):
 		err = io.ErrUnexpectedEOF
 	}
 	return &BrokenError{Upstream: a.attempt.Upstream, Cause: err}
@@ -169,12 +177,24 @@
 // Close ends the attempt. An answer that is not whole is cancelled at the
 // engine, which sees its connection close.
 func (a *Answer) Close() {
-	if a.done {
-		// Read the end of the body so that the connection can be used again.
-		a.watch.arm(endTimeout)
-		_, _ = io.CopyN(io.Discard, a.reader, readBufferBytes)
+	if !a.done {
+		a.conn.discard()
+		return
+	}
+	a.client.put(a.ctx, a.attempt.Upstream, a.conn, a.drained())
+}
+
+// drained reads the end of a body whose answer is whole, so that the connection
+// can be used again, and reports whether it could.
+func (a *Answer) drained() bool {
+	if a.response.Close {
+		return false
+	}
+	a.conn.within(endTimeout)
+	rest := io.Reader(a.response.Body)
+	if a.reader != nil {
+		rest = a.reader
 	}
-	a.watch.arm(0)
-	a.cancel()
-	_ = a.response.Body.Close()
+	_, err := io.CopyN(io.Discard, rest, readBufferBytes)
+	return errors.Is(err, io.EOF)
 }
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -1,90 +1,78 @@
 package engine
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/url"
+	"os"
+	"strings"
 	"sync"
 	"time"
+
+	"banyanyard/io/tcp"
 )
 
 // The bounds of connections to engines.
 const (
-	dialTimeout         = time.Second
-	keepAlive           = 5 * time.Second
-	idleTimeout         = 30 * time.Second
+	idleTimeout         = 20 * time.Second
 	maxIdlePerUpstream  = 64
 	maxRefusalBodyBytes = 16 << 10
+	completionsPath     = "/v1/chat/completions"
 )
 
-// A Client calls engines. It keeps the connections of each upstream apart, so
-// that those of one can be replaced. The zero Client is ready to use.
+// A Client calls engines. It writes and reads HTTP on connections of its own,
+// rather than through http.Transport, to know whether a byte of a request was
+// written, and so that nothing is sent a second time behind the router's back.
+// The zero Client is ready to use.
 type Client struct {
 	// Dial opens a connection; nil means TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial tcp.Dial
 
-	mu    sync.Mutex
-	pools map[string]*http.Transport // guarded by mu; by upstream
+	mu   sync.Mutex
+	idle map[string][]*conn // guarded by mu; by upstream, oldest first
 }
 
 // Start sends an attempt and returns its answer once the engine has accepted
 // it. The caller must Close the answer.
 func (c *Client) Start(ctx context.Context, a Attempt) (*Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	request, err := newRequest(ctx, a)
+	cn, err := c.get(ctx, a)
 	if err != nil {
-		cancel()
-		return nil, err
+		return nil, &UnreachableError{Upstream: a.Upstream, Cause: err}
 	}
-	watch := newWatchdog(cancel)
-	watch.arm(a.FirstByte)
-	response, err := c.pool(a.Upstream).RoundTrip(request)
+	// The end of the context closes the connection, by which the engine learns
+	// that the answer is no longer wanted.
+	cn.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	response, err := cn.send(a)
 	if err != nil {
-		cancel()
-		return nil, c.startError(a, watch, err)
+		cn.discard()
+		return nil, c.startError(ctx, cn, a, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		defer cancel()
-		return nil, statusError(a, response)
-	}
-	return newAnswer(c, a, response, watch, cancel), nil
-}
-
-func newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+"/v1/chat/completions", bytes.NewReader(a.Body))
-	if err != nil {
-		return nil, err
+		return nil, c.statusError(ctx, cn, a, response)
 	}
-	// Without GetBody the transport can't send the request a second time.
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Request-Id", a.ID)
-	if a.After != "" {
-		request.Header.Set("Last-Event-ID", a.After)
-	}
-	return request, nil
+	return newAnswer(ctx, c, cn, a, response), nil
 }
 
-func (c *Client) startError(a Attempt, watch *watchdog, err error) error {
-	if watch.expired() {
+// startError tells what a failure before the answer means.
+func (c *Client) startError(ctx context.Context, cn *conn, a Attempt, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return &BrokenError{Upstream: a.Upstream, Cause: ctx.Err()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.Replace(a.Upstream)
 		return &SilentError{Upstream: a.Upstream, After: a.FirstByte}
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &UnreachableError{Upstream: a.Upstream, Cause: err}
-	}
-	return &BrokenError{Upstream: a.Upstream, Cause: err}
+	return &BrokenError{Upstream: a.Upstream, Cause: err, Stale: cn.reused}
 }
 
 // statusError tells a refusal before the run from a rejection of the request
 // itself. Other statuses say nothing about whether it ran.
-func statusError(a Attempt, response *http.Response) error {
-	defer func() { _ = response.Body.Close() }()
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBodyBytes))
+func (c *Client) statusError(ctx context.Context, cn *conn, a Attempt, response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBodyBytes))
+	c.put(ctx, a.Upstream, cn, err == nil && !response.Close)
 	switch status := response.StatusCode; {
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return &RefusedError{Upstream: a.Upstream, Status: status, Body: body}
@@ -95,89 +83,101 @@
 	}
 }
 
-// Replace closes the idle connections of an upstream and uses new ones from
-// now on. Running answers keep theirs.
+// Replace closes the idle connections of an upstream. Running answers keep
+// theirs.
 func (c *Client) Replace(upstream string) {
 	c.mu.Lock()
-	old := c.pools[upstream]
-	delete(c.pools, upstream)
+	idle := c.idle[upstream]
+	delete(c.idle, upstream)
 	c.mu.Unlock()
-	if old != nil {
-		old.CloseIdleConnections()
+	for _, cn := range idle {
+		_ = cn.Close()
+	}
+}
+
+// get returns an idle connection, or a new one.
+func (c *Client) get(ctx context.Context, a Attempt) (*conn, error) {
+	if cn := c.takeIdle(a.Upstream, a.Address); cn != nil {
+		return cn, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
 	}
+	raw, err := tcp.Or(c.Dial)(ctx, "tcp", a.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, address: a.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
-func (c *Client) pool(upstream string) *http.Transport {
+// takeIdle returns the connection that was used last, and closes those that
+// have been idle for long or lead elsewhere.
+func (c *Client) takeIdle(upstream, address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.pools[upstream]; p != nil {
-		return p
-	}
-	if c.pools == nil {
-		c.pools = map[string]*http.Transport{}
+	idle := c.idle[upstream]
+	for len(idle) > 0 {
+		last := len(idle) - 1
+		cn := idle[last]
+		idle = idle[:last]
+		c.idle[upstream] = idle
+		if time.Since(cn.idleSince) < idleTimeout && cn.address == address {
+			cn.reused = true
+			return cn
+		}
+		_ = cn.Close()
 	}
-	p := c.newTransport()
-	c.pools[upstream] = p
-	return p
+	return nil
 }
 
-func (c *Client) newTransport() *http.Transport {
-	dial := c.Dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+// put keeps a connection for the next attempt when its answer was read to the
+// end.
+func (c *Client) put(ctx context.Context, upstream string, cn *conn, whole bool) {
+	if !cn.stop() || !whole || ctx.Err() != nil || cn.reader.Buffered() > 0 || cn.SetReadDeadline(time.Time{}) != nil {
+		_ = cn.Close()
+		return
 	}
-	return &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerUpstream,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = map[string][]*conn{}
 	}
+	if len(c.idle[upstream]) >= maxIdlePerUpstream {
+		_ = cn.Close()
+		return
+	}
+	c.idle[upstream] = append(c.idle[upstream], cn)
 }
 
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.CloseIdleConnections()
+	upstreams := make([]string, 0, len(c.idle))
+	for id := range c.idle {
+		upstreams = append(upstreams, id)
 	}
-}
-
-// A watchdog cancels an attempt on which nothing arrives in time.
-type watchdog struct {
-	cancel context.CancelFunc
-	mu     sync.Mutex
-	timer  *time.Timer // guarded by mu
-	fired  bool        // guarded by mu
-}
-
-func newWatchdog(cancel context.CancelFunc) *watchdog { return &watchdog{cancel: cancel} }
-
-// arm starts the time anew; zero disarms it.
-func (w *watchdog) arm(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch {
-	case d == 0:
-		if w.timer != nil {
-			w.timer.Stop()
-		}
-	case w.timer == nil:
-		w.timer = time.AfterFunc(d, w.fire)
-	default:
-		w.timer.Reset(d)
+	c.mu.Unlock()
+	for _, id := range upstreams {
+		c.Replace(id)
 	}
 }
 
-func (w *watchdog) fire() {
-	w.mu.Lock()
-	w.fired = true
-	w.mu.Unlock()
-	w.cancel()
-}
-
-func (w *watchdog) expired() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.fired
+// newRequest returns the HTTP request of an attempt.
+func newRequest(a Attempt) *http.Request {
+	header := http.Header{
+		"Content-Type": {"application/json"},
+		"X-Request-Id": {a.ID},
+		"User-Agent":   {"banyanyard"},
+	}
+	if a.After != "" {
+		header.Set("Last-Event-ID", a.After)
+	}
+	return &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: a.Address, Path: completionsPath},
+		Header:        header,
+		Body:          io.NopCloser(strings.NewReader(string(a.Body))),
+		ContentLength: int64(len(a.Body)),
+	}
 }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -89,6 +89,9 @@
 type BrokenError struct {
 	Upstream string
 	Cause    error
+	// Stale says that the connection had been used before and broke before the
+	// answer began, which usually means that the engine had closed it.
+	Stale bool
 }
 
 func (e *BrokenError) Error() string {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -5,19 +5,15 @@
 	"crypto/tls"
 	"net"
 	"sync"
-	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-)
+	"banyanyard/io/tcp"
 
-const (
-	dialTimeout = time.Second
-	keepAlive   = 5 * time.Second
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // A Client calls other instances. It keeps one connection to each address.
 type Client struct {
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	dial    tcp.Dial
 	tls     *tls.Config // nil for plain text
 	traffic *Traffic
 
@@ -27,11 +23,8 @@
 
 // NewClient returns a client. A nil dial means TCP; a nil config means plain
 // text.
-func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), c *tls.Config, traffic *Traffic) *Client {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
-	}
-	return &Client{dial: dial, tls: c, traffic: traffic, conns: map[string]*jsonrpc2.Conn{}}
+func NewClient(dial tcp.Dial, c *tls.Config, traffic *Traffic) *Client {
+	return &Client{dial: tcp.Or(dial), tls: c, traffic: traffic, conns: map[string]*jsonrpc2.Conn{}}
 }
 
 // Exchange probes a member and exchanges gossip with it.
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -19,12 +19,11 @@
 	"time"
 
 	"banyanyard/core/once"
+	"banyanyard/io/tcp"
 )
 
 // The bounds of connections and answers.
 const (
-	dialTimeout     = time.Second
-	keepAlive       = 5 * time.Second
 	idleTimeout     = 30 * time.Second
 	freshIdle       = 2 * time.Second // for calls that may not be repeated
 	maxIdlePerHost  = 32
@@ -86,18 +85,13 @@
 	fresh  *http.Transport
 }
 
-// A Dial opens a connection.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // New returns a client. A nil dial means TCP.
-func New(dial Dial) *Client {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
-	}
+func New(dial tcp.Dial) *Client {
+	dial = tcp.Or(dial)
 	return &Client{pooled: newTransport(dial, idleTimeout), fresh: newTransport(dial, freshIdle)}
 }
 
-func newTransport(dial Dial, idle time.Duration) *http.Transport {
+func newTransport(dial tcp.Dial, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
--- /dev/null
+++ b/io/tcp/tcp.go
@@ -0,0 +1,61 @@
+// Package tcp opens connections that notice when the other end has lost track
+// of them.
+package tcp
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The times of a connection.
+const (
+	dialTimeout = time.Second
+	// userTimeout is how long sent data may stay unacknowledged before the
+	// kernel ends the connection (RFC 5482).
+	userTimeout       = 5 * time.Second
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+var dialer = &net.Dialer{
+	Timeout: dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	},
+	Control: setUserTimeout,
+}
+
+// A Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialContext opens a TCP connection.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Or returns dial, or DialContext when dial is nil.
+func Or(dial Dial) Dial {
+	if dial == nil {
+		return DialContext
+	}
+	return dial
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -130,10 +130,7 @@
 }
 
 func (a *attempt) open(ctx context.Context, stream bool) (*engine.Answer, error) {
-	body, err := a.run.engineBody(a.target, stream)
-	if err != nil {
-		return nil, err
-	}
+	body := a.run.engineBody(a.target, stream)
 	u := a.ticket.Upstream()
 	timeouts := &a.run.node.settings.Timeouts
 	a.start = engine.Attempt{
@@ -195,7 +192,7 @@
 // did not read, at the same engine. It returns the given error when the stream
 // can't be resumed.
 func (a *attempt) resume(ctx context.Context, broken error) error {
-	if a.delivered == "" || !resumable(broken) {
+	if a.delivered == "" || ctx.Err() != nil || !resumable(broken) {
 		return broken
 	}
 	a.release(ctx, broken)
@@ -241,10 +238,11 @@
 	var refused *engine.RefusedError
 	var rejected *engine.RejectedError
 	var slow *caller.SlowReaderError
+	var broken *engine.BrokenError
 	switch {
 	case err == nil, errors.As(err, &rejected):
 		return dispatch.Answered
-	case ctx.Err() != nil, errors.As(err, &slow):
+	case ctx.Err() != nil, errors.As(err, &slow), errors.As(err, &broken) && broken.Stale:
 		return dispatch.Abandoned
 	case errors.As(err, &unreachable):
 		return dispatch.Unreachable
--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	enginefake "banyanyard/fake/engine"
+	platformfake "banyanyard/fake/platform"
+	"banyanyard/io/platform"
+	"banyanyard/node/settings"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+// startBench starts one instance before one engine over real sockets, and
+// returns the addresses of both.
+func startBench(b *testing.B, h http.Handler) (entry, engine string) {
+	b.Helper()
+	engine = serveBench(b, h)
+	store := benchStore{&platformfake.Platform{}}
+	rules := strings.NewReplacer("ENGINE", engine, "HASH", hashOf(testKey)).Replace(`
+failure-domain = { id = "milano-a", state = "in" } # T: test
+model = { id = "small", context-tokens = 8192 } # T: test
+version = { model = "small", id = "v1", state = "serving" } # T: test
+organisation = { id = "nurses", keys = ["HASH"] } # T: test
+allow = { organisation = "nurses", model = "small" } # T: test
+upstream = { id = "e", failure-domain = "milano-a", address = "ENGINE", serves = ["small@v1"], max-requests = 2000, cold-requests = 2000 } # T: test
+`)
+	if _, err := platform.ApplyRules(context.Background(), store, 0, rules, "test"); err != nil {
+		b.Fatal(err)
+	}
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: "entry", FailureDomain: "milano-a"}
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	s.Timeouts.Announce = 0
+	n, err := New(Config{Settings: s, SessionKey: bytes.Repeat([]byte("k"), 32), Store: store, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	l, err := n.Listen()
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Serve(ctx, l) }()
+	b.Cleanup(func() {
+		stop()
+		<-done
+	})
+	for !n.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return l.Callers.Addr().String(), engine
+}
+
+// A benchStore keeps no charges, since the memory and time of the stand-in's
+// tables are not the instance's.
+type benchStore struct{ *platformfake.Platform }
+
+func (benchStore) InsertAll(context.Context, string, []platform.Row) error { return nil }
+
+func serveBench(b *testing.B, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}
+
+func post(b testing.TB, address, body string) io.ReadCloser {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("X-Request-Id", "direct")
+	response, err := benchClient.Do(r)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return response.Body
+}
+
+// callRate returns the short calls a second of many callers.
+func callRate(b *testing.B, address string, calls int) float64 {
+	const callers = 32
+	body := completionBody("small", "hello", false)
+	var left atomic.Int64
+	left.Store(int64(calls))
+	begin := time.Now()
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for left.Add(-1) >= 0 {
+				answer := post(b, address, body)
+				_, _ = io.Copy(io.Discard, answer)
+				_ = answer.Close()
+			}
+		})
+	}
+	running.Wait()
+	return float64(calls) / time.Since(begin).Seconds()
+}
+
+// BenchmarkShortCall compares calls through an instance with direct ones to the
+// same engine on the same cores. The target is 45%.
+func BenchmarkShortCall(b *testing.B) {
+	entry, engine := startBench(b, (&enginefake.Engine{}).Handler())
+	callRate(b, entry, 2000)
+	b.ResetTimer()
+	calls := max(b.N, 2000)
+	direct := callRate(b, engine, calls)
+	through := callRate(b, entry, calls)
+	b.ReportMetric(through, "calls/s")
+	b.ReportMetric(through/direct, "of-direct")
+	if b.N > 2000 && through/direct < 0.45 {
+		b.Errorf("calls through an instance reach %.0f%% of the direct rate", 100*through/direct)
+	}
+}
+
+// floodEngine streams b.N small events as fast as they are read.
+type floodEngine struct{ events int }
+
+func (f floodEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := "chatcmpl-" + r.Header.Get("X-Request-Id")
+	_, _ = io.Copy(io.Discard, r.Body)
+	out := bufio.NewWriterSize(w, 16<<10)
+	line := `data: {"id":"` + id + `","object":"chat.completion.chunk","created":1796362621,"model":"small@v1","choices":[{"index":0,"delta":{"content":" word"},"finish_reason":null}]}` + "\n\n"
+	for range f.events {
+		_, _ = out.WriteString(line)
+	}
+	_, _ = out.WriteString("data: [DONE]\n\n")
+	_ = out.Flush()
+}
+
+// BenchmarkRelay reports the events a second that one stream carries. The
+// target is 100,000 on one core; run it with -cpu 1.
+func BenchmarkRelay(b *testing.B) {
+	entry, engine := startBench(b, floodEngine{events: b.N})
+	read := func(address string) float64 {
+		begin := time.Now()
+		answer := post(b, address, completionBody("small", "hello", true))
+		scanner := bufio.NewScanner(answer)
+		events := 0
+		for scanner.Scan() {
+			if len(scanner.Bytes()) > 0 {
+				events++
+			}
+		}
+		_ = answer.Close()
+		if events != b.N+1 {
+			b.Fatalf("%d events of %d", events, b.N+1)
+		}
+		return float64(events) / time.Since(begin).Seconds()
+	}
+	b.ResetTimer()
+	direct := read(engine)
+	through := read(entry)
+	b.ReportMetric(through, "events/s")
+	b.ReportMetric(through/direct, "of-direct")
+	if b.N > 50_000 && through < 100_000 {
+		b.Errorf("a stream carries %.0f events a second", through)
+	}
+}
--- a/node/cascade.go
+++ b/node/cascade.go
@@ -19,7 +19,7 @@
 		return false, ctx.Err()
 	}
 	if !r.suffices(ctx, t, body) {
-		r.node.metrics.escalations.WithLabelValues(r.labels()...).Inc()
+		r.series().escalations.Inc()
 		return false, nil
 	}
 	return true, r.deliver(ctx, body, meta)
--- a/node/complete.go
+++ b/node/complete.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"strconv"
 	"time"
@@ -14,6 +14,7 @@
 	"banyanyard/io/caller"
 	"banyanyard/io/engine"
 
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -143,15 +144,15 @@
 	r.begun = true
 	r.lastAt = now
 	r.out.Begin(meta)
-	r.gap = r.node.metrics.gap.WithLabelValues(r.labels()...)
-	r.node.metrics.firstToken.WithLabelValues(r.labels()...).Observe(now.Sub(r.arrived).Seconds())
+	r.gap = r.series().gap
+	r.series().firstToken.Observe(now.Sub(r.arrived).Seconds())
 }
 
 // commit makes the one charge of the request, before its last byte leaves.
 func (r *completion) commit(ctx context.Context) {
 	r.spent.At = time.Now().UTC()
 	r.node.charges.commit(ctx, r.spent)
-	r.node.metrics.spent.WithLabelValues(r.labels()...).Add(float64(r.spent.Cost))
+	r.series().spent.Add(float64(r.spent.Cost))
 }
 
 // spend adds the cost of a whole answer of one attempt.
@@ -165,18 +166,19 @@
 	}
 }
 
-func (r *completion) labels() []string {
-	return []string{r.request.Organisation.ID, r.plan.ClassName()}
+// series returns the metrics of the organisation and class.
+func (r *completion) series() *series {
+	return r.node.metrics.of(r.request.Organisation.ID, r.plan.ClassName())
 }
 
 func (r *completion) observe(err error) {
 	if r.plan.Len > 0 {
-		r.node.metrics.request.WithLabelValues(r.labels()...).Observe(time.Since(r.arrived).Seconds())
+		r.series().request.Observe(time.Since(r.arrived).Seconds())
 	}
-	entry := r.node.log.WithField("request", r.request.ID).WithField("organisation", r.request.Organisation.ID).
-		WithField("model", r.spent.Model).WithField("version", r.spent.Version).WithField("attempts", r.attempts)
 	if err == nil {
-		entry.WithDuration(time.Since(r.arrived)).Debug("answered")
+		if r.node.verbose {
+			r.entry().WithDuration(time.Since(r.arrived)).Debug("answered")
+		}
 		return
 	}
 	var refused *refusal.Error
@@ -185,23 +187,37 @@
 		kind = string(refused.Kind)
 	}
 	r.node.metrics.refusals.WithLabelValues(r.request.Organisation.ID, kind).Inc()
-	entry.WithField("kind", kind).WithError(err).Info("not answered")
+	r.entry().WithField("kind", kind).WithError(err).Info("not answered")
 }
 
-// engineBody returns the request as an engine gets it.
-func (r *completion) engineBody(t rules.Target, stream bool) ([]byte, error) {
-	fields := make(map[string]json.RawMessage, len(r.request.Fields)+3)
-	for name, value := range r.request.Fields {
-		fields[name] = value
-	}
-	fields["model"] = json.RawMessage(strconv.Quote(t.String()))
-	fields["stream"] = json.RawMessage(strconv.FormatBool(stream))
-	fields["priority"] = json.RawMessage(enginePriority(r.plan.Priority()))
-	delete(fields, "stream_options")
+func (r *completion) entry() *log.Entry {
+	return r.node.log.WithField("request", r.request.ID).WithField("organisation", r.request.Organisation.ID).
+		WithField("model", r.spent.Model).WithField("version", r.spent.Version).WithField("attempts", r.attempts)
+}
+
+// engineBody returns the request as an engine gets it: the caller's members, but
+// for those that the router sets.
+func (r *completion) engineBody(t rules.Target, stream bool) []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"model":`)
+	b.WriteString(strconv.Quote(t.String()))
+	b.WriteString(`,"priority":`)
+	b.WriteString(enginePriority(r.plan.Priority()))
 	if stream {
-		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+		b.WriteString(`,"stream":true,"stream_options":{"include_usage":true}`)
+	}
+	for name, value := range r.request.Fields {
+		switch name {
+		case "model", "priority", "stream", "stream_options":
+			continue
+		}
+		b.WriteByte(',')
+		b.Write(mustMarshal(name))
+		b.WriteByte(':')
+		b.Write(value)
 	}
-	return json.Marshal(fields)
+	b.WriteByte('}')
+	return b.Bytes()
 }
 
 // enginePriority returns the engine's number for a priority; lower goes first.
--- a/node/handover.go
+++ b/node/handover.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 
 	"banyanyard/core/refusal"
 	"banyanyard/io/caller"
+	"banyanyard/io/tcp"
 )
 
 // headerHandedOver marks a request that another instance has handed over, so
@@ -28,11 +28,11 @@
 	transport *http.Transport
 }
 
-func newHandOver(n *Node, dial func(context.Context, string, string) (net.Conn, error), c *tls.Config) *handOver {
+func newHandOver(n *Node, dial tcp.Dial, c *tls.Config) *handOver {
 	return &handOver{
 		node:      n,
 		local:     n.handler,
-		transport: &http.Transport{DialContext: dial, TLSClientConfig: c, DisableCompression: true},
+		transport: &http.Transport{DialContext: tcp.Or(dial), TLSClientConfig: c, DisableCompression: true},
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -36,6 +37,7 @@
 	pendingCharges prometheus.Gauge
 	revision       prometheus.Gauge
 	platformErrors prometheus.Counter
+	series         sync.Map // seriesKey to *series
 }
 
 func newMetrics() *Metrics {
@@ -57,6 +59,34 @@
 	return m
 }
 
+// A series is the metrics of one organisation and class.
+type series struct {
+	request     prometheus.Observer
+	firstToken  prometheus.Observer
+	gap         prometheus.Observer
+	spent       prometheus.Counter
+	escalations prometheus.Counter
+}
+
+type seriesKey struct{ organisation, class string }
+
+// of returns the series of an organisation and class. Both come from the rules,
+// so that their number is bounded.
+func (m *Metrics) of(organisation, class string) *series {
+	key := seriesKey{organisation, class}
+	if s, ok := m.series.Load(key); ok {
+		return s.(*series)
+	}
+	s, _ := m.series.LoadOrStore(key, &series{
+		request:     m.request.WithLabelValues(organisation, class),
+		firstToken:  m.firstToken.WithLabelValues(organisation, class),
+		gap:         m.gap.WithLabelValues(organisation, class),
+		spent:       m.spent.WithLabelValues(organisation, class),
+		escalations: m.escalations.WithLabelValues(organisation, class),
+	})
+	return s.(*series)
+}
+
 const namespace = "banyanyard"
 
 func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +30,7 @@
 	"banyanyard/io/peer"
 	"banyanyard/io/platform"
 	"banyanyard/io/service"
+	"banyanyard/io/tcp"
 	"banyanyard/node/settings"
 
 	"github.com/apex/log"
@@ -68,6 +68,7 @@
 	peerServerTLS *tls.Config
 	traffic       peer.Traffic
 	log           log.Interface
+	verbose       bool // answered requests are logged
 	metrics       *Metrics
 	handler       *caller.Handler
 	handOver      *handOver
@@ -95,7 +96,7 @@
 	Store      Store
 	Log        log.Interface
 	// Dial opens connections to upstreams and other instances; nil means TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial tcp.Dial
 }
 
 // New returns an instance that has not started.
@@ -111,6 +112,7 @@
 		retries:    newRetries(),
 		events:     make(chan event, eventBacklog),
 		aborted:    make(chan struct{}),
+		verbose:    c.Settings.Log.Level == log.DebugLevel.String(),
 	}
 	var err error
 	if n.peerClientTLS, n.peerServerTLS, err = peerTLS(&c.Settings.Security); err != nil {
