core/crash: refuse requests that crash upstreams, and keep suspects apart

Cause: a request that crashes its engine was sent to one after another. The engine stand-in's crash now ends all of its runs.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -72,6 +72,8 @@
 	}
 }
 
+func (s share) First(string) bool { return s.n == 1 }
+
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
 // warm brings every upstream to its full limit.
@@ -264,6 +266,7 @@
 func (m *model) offer(t *rapid.T) {
 	k := ticket(rapid.SampledFrom([]string{"o1", "o2"}).Draw(t, "organisation"))
 	k.Tokens = rapid.IntRange(1, 3000).Draw(t, "tokens")
+	k.Suspect = rapid.Bool().Draw(t, "suspect")
 	k.Priority = rapid.SampledFrom([]rules.Priority{rules.Interactive, rules.Batch}).Draw(t, "priority")
 	k.OnGrant = func(k *Ticket) {
 		m.checkGrant(k)
@@ -318,8 +321,17 @@
 
 func (m *model) check(t *rapid.T) {
 	held := map[string]int{}
+	suspects := map[string]int{}
 	for _, k := range m.running {
 		held[k.upstream.rule.ID]++
+		if k.Suspect {
+			suspects[k.upstream.rule.ID]++
+		}
+	}
+	for id, n := range suspects {
+		if n > 1 {
+			t.Fatalf("%d suspects run at %s", n, id)
+		}
 	}
 	for id, u := range m.d.upstreams {
 		if u.requests != held[id] {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 // Shares tells what this instance may hold at each upstream.
 type Shares interface {
 	Of(upstream string) slot.Share
+	// First reports whether this instance alone may run suspects there.
+	First(upstream string) bool
 }
 
 // A Dispatcher hands out this instance's slots.
@@ -99,6 +101,7 @@
 		}
 		d.configure(u, rule)
 		u.share = shares.Of(rule.ID)
+		u.first = shares.First(rule.ID)
 	}
 }
 
@@ -292,6 +295,9 @@
 	if t.Only != "" {
 		return p.named(now, t, t.Only)
 	}
+	if t.Suspect && p.hasFirst(now) {
+		return p.apart(now, t)
+	}
 	if u := d.pickFrom(now, p.near, t); u != nil {
 		return u
 	}
@@ -301,14 +307,22 @@
 	return p.named(now, t, t.Avoid)
 }
 
-// named returns the upstream with the identifier when it can take the ticket.
-func (p *pool) named(now time.Time, t *Ticket, id string) *upstream {
-	if id == "" {
-		return nil
-	}
+// hasFirst reports whether this instance may run suspects apart from all others
+// at some upstream.
+func (p *pool) hasFirst(now time.Time) bool {
+	return p.find(func(u *upstream) bool { return u.first && !now.Before(u.downUntil) }) != nil
+}
+
+// apart returns an upstream where the ticket is the only suspect of all
+// instances.
+func (p *pool) apart(now time.Time, t *Ticket) *upstream {
+	return p.find(func(u *upstream) bool { return u.first && u.free(now, t) })
+}
+
+func (p *pool) find(ok func(*upstream) bool) *upstream {
 	for _, us := range [...][]*upstream{p.near, p.far} {
 		for _, u := range us {
-			if u.rule.ID == id && u.free(now, t) {
+			if ok(u) {
 				return u
 			}
 		}
@@ -316,6 +330,14 @@
 	return nil
 }
 
+// named returns the upstream with the identifier when it can take the ticket.
+func (p *pool) named(now time.Time, t *Ticket, id string) *upstream {
+	if id == "" {
+		return nil
+	}
+	return p.find(func(u *upstream) bool { return u.rule.ID == id && u.free(now, t) })
+}
+
 func (d *Dispatcher) pickFrom(now time.Time, us []*upstream, t *Ticket) *upstream {
 	if len(us) == 0 {
 		return nil
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -24,6 +24,8 @@
 	Deadline     time.Time // zero means none
 	Avoid        string    // upstream that failed an earlier attempt
 	Only         string    // the one upstream that can serve it; empty for any
+	// Suspect keeps the ticket apart from other suspects at one upstream.
+	Suspect bool
 	// OnGrant is called from Release or Update when a waiting ticket gets a
 	// slot, and must not block. It is not called for a grant by Offer.
 	OnGrant func(*Ticket)
@@ -36,12 +38,17 @@
 	held     int             // tokens that it holds at upstream
 	epoch    uint32          // ramp epoch at the grant
 	waiting  bool
+	alone    bool      // no other suspect can run beside it
 	granted  time.Time // when upstream was set
 }
 
 // Upstream returns the granted upstream, or nil.
 func (t *Ticket) Upstream() *rules.Upstream { return t.rule }
 
+// Alone reports whether the ticket was granted as the only suspect at its
+// upstream.
+func (t *Ticket) Alone() bool { return t.alone }
+
 // Granted returns when the ticket got its slot.
 func (t *Ticket) Granted() time.Time { return t.granted }
 
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -20,9 +20,11 @@
 	pools     []Pool // that the rule names
 	inService bool
 	share     slot.Share // of this instance
+	first     bool       // no other instance runs suspects here
 	ramp      ramp.Ramp
 
 	requests   int // granted now
+	suspects   int // of requests, that are suspect
 	tokensHeld int // granted now
 	failures   int // attempts in a row that failed
 	downUntil  time.Time
@@ -47,6 +49,9 @@
 	if !u.inService || u.requests >= u.limit() || now.Before(u.downUntil) {
 		return false
 	}
+	if t.Suspect && u.suspects > 0 {
+		return false
+	}
 	return u.rule.MaxTokens == 0 || u.tokensHeld+u.tokensOf(t) <= u.share.Tokens
 }
 
@@ -68,16 +73,23 @@
 	u.requests++
 	t.held = u.tokensOf(t)
 	u.tokensHeld += t.held
+	if t.Suspect {
+		u.suspects++
+	}
 	t.upstream = u
 	t.rule = u.rule
 	t.granted = now
 	t.epoch = u.ramp.Level().Epoch
 	t.waiting = false
+	t.alone = t.Suspect && u.first
 }
 
 func (u *upstream) give(t *Ticket) {
 	u.requests--
 	u.tokensHeld -= t.held
+	if t.Suspect {
+		u.suspects--
+	}
 }
 
 // observe learns from the outcome of an attempt that began in the epoch.
--- a/core/slot/shares.go
+++ b/core/slot/shares.go
@@ -68,6 +68,7 @@
 // dealt is the share of one upstream.
 type dealt struct {
 	rule    *rules.Upstream
+	first   bool  // this instance has the first rank
 	target  Share // by the deal of the epoch
 	current Share
 }
@@ -109,7 +110,7 @@
 	clear(s.known)
 	for id, d := range s.upstreams {
 		s.known[id] = true
-		d.target = s.deal(d.rule)
+		d.target, d.first = s.deal(d.rule)
 		d.current = d.current.min(d.target)
 	}
 	s.grow()
@@ -167,18 +168,18 @@
 		d.rule = rule
 		return
 	}
-	target := s.deal(rule)
+	target, first := s.deal(rule)
 	switch {
 	case d != nil:
-		d.rule, d.target, d.current = rule, target, d.current.min(target)
+		d.rule, d.first, d.target, d.current = rule, first, target, d.current.min(target)
 		s.stale = true
 	case s.known[id]:
-		s.upstreams[id] = &dealt{rule: rule, target: target}
+		s.upstreams[id] = &dealt{rule: rule, first: first, target: target}
 		s.stale = true
 	case s.agreed:
-		s.upstreams[id] = &dealt{rule: rule, target: target, current: target}
+		s.upstreams[id] = &dealt{rule: rule, first: first, target: target, current: target}
 	default:
-		s.upstreams[id] = &dealt{rule: rule, target: target}
+		s.upstreams[id] = &dealt{rule: rule, first: first, target: target}
 	}
 }
 
@@ -186,14 +187,16 @@
 	return a.FailureDomain == b.FailureDomain && a.MaxRequests == b.MaxRequests && a.MaxTokens == b.MaxTokens && a.ColdRequests == b.ColdRequests
 }
 
-func (s *Shares) deal(u *rules.Upstream) Share {
+// deal returns this instance's share of an upstream, and whether it has the
+// first rank.
+func (s *Shares) deal(u *rules.Upstream) (Share, bool) {
 	subset := Subset(u.ID, u.FailureDomain, s.epoch.Members)
 	rank := slices.IndexFunc(subset, func(m Member) bool { return m.ID == s.self })
 	return Share{
 		Requests: Part(u.MaxRequests, rank, len(subset)),
 		Cold:     Part(max(u.ColdRequests, 1), rank, len(subset)),
 		Tokens:   Part(u.MaxTokens, rank, len(subset)),
-	}
+	}, rank == 0
 }
 
 // Of returns the share of an upstream.
@@ -204,6 +207,13 @@
 	return Share{}
 }
 
+// First reports whether this instance has the first rank at an upstream. At
+// most one instance of those that act on the epoch has it.
+func (s *Shares) First(upstream string) bool {
+	d := s.upstreams[upstream]
+	return d != nil && d.first && s.agreed
+}
+
 // Any reports whether the instance has a share of any upstream.
 func (s *Shares) Any() bool {
 	for _, d := range s.upstreams {
--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -57,6 +57,7 @@
 	text    string
 	faults  Faults
 	after   int // pieces that an earlier stream has sent
+	life    <-chan struct{}
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -76,16 +77,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := &run{engine: e, request: request, attempt: attempt, id: "chatcmpl-" + attempt, prompt: prompt(request), faults: faults, after: after}
+	run := &run{engine: e, request: request, attempt: attempt, id: "chatcmpl-" + attempt, prompt: prompt(request), faults: faults, after: after, life: e.life()}
 	run.text = e.text(request.Model, run.prompt)
 	if faults.ForeignID {
 		run.id = "chatcmpl-of-another-attempt"
 	}
 	defer func() { e.end(r.Context().Err() != nil) }()
 	if faults.CrashOn != "" && strings.Contains(run.prompt, faults.CrashOn) {
+		e.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if !wait(r, e.FirstToken) {
+	if !run.wait(r, e.FirstToken) {
 		return
 	}
 	if request.Stream {
@@ -103,17 +105,20 @@
 	return b.String()
 }
 
-// wait pauses for d and reports whether the request goes on.
-func wait(r *http.Request, d time.Duration) bool {
+// wait pauses for d and reports whether the request goes on. A crash of the
+// engine closes the connection.
+func (r *run) wait(request *http.Request, d time.Duration) bool {
 	if d <= 0 {
-		return r.Context().Err() == nil
+		return request.Context().Err() == nil
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
-	case <-r.Context().Done():
+	case <-r.life:
+		panic(http.ErrAbortHandler)
+	case <-request.Context().Done():
 		return false
 	}
 }
@@ -125,7 +130,7 @@
 }
 
 func (r *run) whole(w http.ResponseWriter, request *http.Request) {
-	if !wait(request, r.engine.Gap*time.Duration(r.pieces())) {
+	if !r.wait(request, r.engine.Gap*time.Duration(r.pieces())) {
 		return
 	}
 	if r.faults.DieAfter > 0 {
@@ -157,7 +162,7 @@
 		if i < r.after {
 			continue
 		}
-		if i > 0 && !wait(request, r.engine.Gap) {
+		if i > 0 && !r.wait(request, r.engine.Gap) {
 			return
 		}
 		if r.faults.DieAfter == i+1 && !(r.faults.DieOnce && r.after > 0) {
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -20,7 +20,7 @@
 	DieOnce     bool   // lets resumed streams pass DieAfter
 	SilentAfter int    // sends nothing more after so many pieces; 0 means never
 	ForeignID   bool   // answers with the id of another attempt
-	CrashOn     string // a prompt with this text closes every connection
+	CrashOn     string // a prompt with this text crashes the process
 }
 
 // An Engine answers chat completions. Set the exported fields before Handler
@@ -34,10 +34,12 @@
 	Text func(model, prompt string) string
 
 	mu        sync.Mutex
+	crashed   chan struct{}  // guarded by mu; closed when the process crashes
 	faults    Faults         // guarded by mu
 	running   int            // guarded by mu
 	mostHeld  int            // guarded by mu
 	ran       map[string]int // guarded by mu; runs by attempt
+	lost      map[string]int // guarded by mu; runs that the process before a crash had
 	models    map[string]int // guarded by mu; runs by model
 	cancelled int            // guarded by mu
 	resumed   int            // guarded by mu
@@ -61,6 +63,32 @@
 	e.overload = 0
 }
 
+// life returns a channel that is closed when the engine's process crashes.
+func (e *Engine) life() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed == nil {
+		e.crashed = make(chan struct{})
+	}
+	return e.crashed
+}
+
+// crash ends every run, as the death of the engine's process does, and starts
+// the process anew.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.crashed)
+	e.crashed = nil
+	if e.lost == nil {
+		e.lost = map[string]int{}
+	}
+	for attempt, n := range e.ran {
+		e.lost[attempt] += n
+	}
+	e.ran = map[string]int{}
+}
+
 // A Record is what an engine has seen.
 type Record struct {
 	Running   int
@@ -79,10 +107,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, Overloaded: e.overload, ByModel: map[string]int{}}
-	for _, n := range e.ran {
-		r.Ran += n
-		if n > 1 {
-			r.RanTwice++
+	for _, runs := range [...]map[string]int{e.ran, e.lost} {
+		for _, n := range runs {
+			r.Ran += n
+			if n > 1 {
+				r.RanTwice++
+			}
 		}
 	}
 	for m, n := range e.models {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -75,6 +75,9 @@
 func (r *completion) tryUpstreams(ctx context.Context, t rules.Target, f func(context.Context, *attempt) error) error {
 	avoid := ""
 	for {
+		if err := r.refuseCrasher(); err != nil {
+			return err
+		}
 		a := &attempt{run: r, target: t, ticket: r.ticket(ctx, t, avoid)}
 		if err := r.node.slots.acquire(ctx, a.ticket); err != nil {
 			return err
@@ -103,6 +106,7 @@
 		Tokens:       r.request.Prompt + answer,
 		Deadline:     deadline,
 		Avoid:        avoid,
+		Suspect:      r.suspect(),
 	}
 }
 
@@ -231,6 +235,7 @@
 	}
 	a.run.node.slots.release(a.ticket, outcome(ctx, err), a.firstToken)
 	a.run.noteRun(err)
+	a.noteCrash(ctx, err)
 }
 
 func outcome(ctx context.Context, err error) dispatch.Outcome {
--- a/node/complete.go
+++ b/node/complete.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanyard/core/charge"
+	"banyanyard/core/crash"
 	"banyanyard/core/refusal"
 	"banyanyard/core/route"
 	"banyanyard/core/rules"
@@ -33,7 +34,8 @@
 	mayRan   bool          // an attempt may have run
 	spent    charge.Charge // what the attempts have cost so far
 	attempts int
-	lastAt   time.Time // of the newest piece
+	print    crash.Fingerprint // empty until it is needed
+	lastAt   time.Time         // of the newest piece
 	gap      prometheus.Observer
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -20,6 +20,7 @@
 	keyRamp   = "ramp/"   // ramp level of an upstream
 	keyEpoch  = "epoch/"  // epoch that a member acts on
 	keyForce  = "force/"  // revision that a member has in force
+	keyCrash  = "crash/"  // broken runs of a request, by fingerprint and member
 )
 
 const (
@@ -67,6 +68,8 @@
 			c.learnLevel(now, e)
 		case strings.HasPrefix(e.Key, keyEpoch):
 			c.learnActing(e)
+		case strings.HasPrefix(e.Key, keyCrash):
+			c.node.crashes.learn(e)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 	slots    *slots
 	charges  *charges
 	sessions *sessions
+	crashes  *crashes
 	retries  *retries
 	events   chan event // to the control goroutine
 	// background counts what outlives its request and ends before the
@@ -123,6 +124,7 @@
 	n.peers = peer.NewClient(c.Dial, n.peerClientTLS, &n.traffic)
 	n.charges = newCharges(n)
 	n.sessions = newSessions(c.Store)
+	n.crashes = &crashes{self: n.identity.ID}
 	n.handler = caller.New(n, callerLimits(&c.Settings))
 	n.handOver = newHandOver(n, c.Dial, n.peerClientTLS)
 	return n, nil
