core/rollout: steps by sequential evidence, and a gate before there is any

Cause: a roll-out's step was changed by hand only, and nothing noticed a bad version. Change: a sequential probability ratio test over all instances' evidence, a gate for unproven versions, states that join; errors, slow first tokens, ratings. A first version compared with the old arm of the newest segment only and stopped 981 of 1,000 good ones, since that arm is empty in the last step.

--- /dev/null
+++ b/core/rollout/rollout.go
@@ -0,0 +1,175 @@
+// Package rollout moves sessions to a new version step by step, and stops on
+// its own when the version is bad.
+//
+// The evidence is counted by all instances and added up. In each step a
+// sequential probability ratio test (Wald, 1945) compares the new version with
+// the old one running beside it, by errors, slow answers and ratings. A stop
+// only takes work away, so that any instance that sees it obeys it at once; a
+// larger share is granted only by a compare-and-set of the roll-out's row, by
+// the one instance that drives it.
+//
+// Invariants:
+//   - Join of two states is the later step, and a stop stays;
+//   - Advance never leads out of a stop.
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"banyanyard/core/tally"
+)
+
+const (
+	// falseStop is the chance that one test of one segment stops a version that
+	// is no worse than tolerated.
+	falseStop = 0.0004
+	// tolerance is added to the old version's rate of bad outcomes.
+	tolerance = 0.01
+	// floor is the rate of bad outcomes that no version is blamed for.
+	floor = 0.02
+	// worse is the difference of the rates that the test looks for.
+	worse = 0.10
+	// StepRequests is the number of requests to the new version that a step
+	// needs.
+	StepRequests = 100
+	// LastRounds is the number of rounds of the last step. Each begins with fresh
+	// evidence about the new version, so that a late change shows.
+	LastRounds = 3
+	// RoundRequests is the number of requests that a round needs.
+	RoundRequests = 500
+	// StepTime is the shortest time of a step.
+	StepTime = 2 * time.Minute
+)
+
+// An Arm is the evidence about one version. Each count is of bad and good
+// outcomes.
+type Arm struct {
+	Errors  tally.Counts `json:"errors"`  // Bad: not answered
+	Latency tally.Counts `json:"latency"` // Bad: first token later than SlowAfter
+	Ratings tally.Counts `json:"ratings"` // Bad: did not suffice
+}
+
+// Plus returns the sum of two arms.
+func (a Arm) Plus(o Arm) Arm {
+	return Arm{Errors: a.Errors.Plus(o.Errors), Latency: a.Latency.Plus(o.Latency), Ratings: a.Ratings.Plus(o.Ratings)}
+}
+
+// Evidence is the evidence about both versions: about the new one since the
+// segment began, about the old one since the roll-out began, since few sessions
+// are left to it at the end.
+type Evidence struct {
+	New Arm `json:"new"`
+	Old Arm `json:"old"`
+}
+
+// Plus returns the sum of two pieces of evidence.
+func (e Evidence) Plus(o Evidence) Evidence {
+	return Evidence{New: e.New.Plus(o.New), Old: e.Old.Plus(o.Old)}
+}
+
+// A State is how far a roll-out has come. The zero State is at the beginning.
+type State struct {
+	Step    int       `json:"step"`    // index into the rule's shares
+	Segment int       `json:"segment"` // rises with each fresh start of the evidence
+	Rounds  int       `json:"rounds"`  // of the last step that are over
+	Done    bool      `json:"done"`
+	Stopped string    `json:"stopped"` // why, with figures; empty while it runs
+	Since   time.Time `json:"since"`   // when the step or the end began
+}
+
+// Version orders states.
+func (s State) Version() uint64 {
+	v := uint64(s.Segment) << 2
+	if s.Done {
+		v |= 1
+	}
+	if s.Stopped != "" {
+		v |= 1 << 62
+	}
+	return v
+}
+
+// Join returns the later of two states.
+func Join(a, b State) State {
+	if b.Version() > a.Version() {
+		return b
+	}
+	return a
+}
+
+// Share returns the percentage of new sessions that get the new version.
+func (s State) Share(shares []int) int {
+	if s.Stopped != "" || len(shares) == 0 {
+		return 0
+	}
+	return shares[min(s.Step, len(shares)-1)]
+}
+
+// A test compares one kind of outcome.
+type test struct {
+	name     string
+	new, old tally.Counts
+}
+
+// Verdict returns why the new version is bad, or "" while it isn't known to be.
+func Verdict(e Evidence) string {
+	tests := [...]test{
+		{name: "errors", new: e.New.Errors, old: e.Old.Errors},
+		{name: "slow first tokens", new: e.New.Latency, old: e.Old.Latency},
+		{name: "insufficient answers", new: e.New.Ratings, old: e.Old.Ratings},
+	}
+	for _, t := range tests {
+		if t.bad() {
+			return fmt.Sprintf("%s: %d of %d with the new version, %d of %d with the old", t.name, t.new.Bad, t.new.N(), t.old.Bad, t.old.N())
+		}
+	}
+	return ""
+}
+
+// bad reports whether the likelihood of the outcomes under a rate that is worse
+// by the given difference exceeds that under a tolerated rate.
+func (t *test) bad() bool {
+	p0 := min(max(upper(t.old), floor)+tolerance, 1-2*worse)
+	p1 := p0 + worse
+	ratio := float64(t.new.Bad)*math.Log(p1/p0) + float64(t.new.Good)*math.Log((1-p1)/(1-p0))
+	return ratio > math.Log(1/falseStop)
+}
+
+// upper returns a rate of bad outcomes that the true one is rarely above.
+func upper(c tally.Counts) float64 {
+	if c.N() == 0 {
+		return 0
+	}
+	rate := float64(c.Bad) / float64(c.N())
+	return rate + math.Sqrt(rate*(1-rate)/float64(c.N()))
+}
+
+// Advance returns the next state for the evidence of the current segment, and
+// whether it differs. A roll-out that can't see all instances holds: it may
+// stop, but not grow.
+func Advance(s State, e Evidence, steps int, now time.Time, hold bool) (State, bool) {
+	if s.Stopped != "" || s.Done {
+		return s, false
+	}
+	if why := Verdict(e); why != "" {
+		return State{Step: s.Step, Segment: s.Segment, Stopped: why, Since: now}, true
+	}
+	if hold {
+		return s, false
+	}
+	if now.Sub(s.Since) < StepTime {
+		return s, false
+	}
+	n := e.New.Errors.N()
+	last := s.Step >= steps-1
+	switch {
+	case !last && n >= StepRequests:
+		return State{Step: s.Step + 1, Segment: s.Segment + 1, Since: now}, true
+	case last && n >= RoundRequests:
+		rounds := s.Rounds + 1
+		return State{Step: s.Step, Segment: s.Segment + 1, Rounds: rounds, Done: rounds == LastRounds, Since: now}, true
+	}
+	return s, false
+}
--- /dev/null
+++ b/core/rollout/rollout_test.go
@@ -0,0 +1,284 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"banyanyard/core/tally"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestStopStaysAndLaterStepWins(t *testing.T) {
+	state := rapid.Custom(func(t *rapid.T) State {
+		s := State{Segment: rapid.IntRange(0, 5).Draw(t, "segment"), Done: rapid.Bool().Draw(t, "done")}
+		if rapid.Bool().Draw(t, "stopped") {
+			s.Stopped = "why"
+		}
+		return s
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := state.Draw(t, "a"), state.Draw(t, "b")
+		j := Join(a, b)
+		if j.Version() != Join(b, a).Version() || (a.Stopped != "" || b.Stopped != "") && j.Stopped == "" || j.Segment < min(a.Segment, b.Segment) {
+			t.Fatalf("join of %+v and %+v is %+v", a, b, j)
+		}
+	})
+}
+
+func TestAdvance(t *testing.T) {
+	good := func(n int) Evidence {
+		return Evidence{New: Arm{Errors: tally.Counts{Good: n}}, Old: Arm{Errors: tally.Counts{Good: 1000}}}
+	}
+	tests := []struct {
+		name     string
+		state    State
+		evidence Evidence
+		after    time.Duration
+		hold     bool
+		want     State // Since is not compared
+	}{
+		{name: "too little evidence", evidence: good(StepRequests - 1), after: time.Hour},
+		{name: "too early", evidence: good(StepRequests), after: time.Second},
+		{name: "next step", evidence: good(StepRequests), after: time.Hour, want: State{Step: 1, Segment: 1}},
+		{name: "holds while cut off", evidence: good(StepRequests), after: time.Hour, hold: true},
+		{name: "next round", state: State{Step: 2, Segment: 2}, evidence: good(RoundRequests), after: time.Hour, want: State{Step: 2, Segment: 3, Rounds: 1}},
+		{name: "done", state: State{Step: 2, Segment: 4, Rounds: 2}, evidence: good(RoundRequests), after: time.Hour, want: State{Step: 2, Segment: 5, Rounds: 3, Done: true}},
+		{name: "stopped stays", state: State{Stopped: "x"}, evidence: good(RoundRequests), after: time.Hour, want: State{Stopped: "x"}},
+		{name: "stops also while cut off", evidence: Evidence{New: Arm{Errors: tally.Counts{Bad: 10}}}, hold: true, want: State{Stopped: "errors: 10 of 10 with the new version, 0 of 0 with the old"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, _ := Advance(tt.state, tt.evidence, 3, tt.state.Since.Add(tt.after), tt.hold)
+			got.Since = tt.want.Since
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// A version has chances of bad outcomes, which may change at the last step.
+type version struct {
+	errors, slow, insufficient float64
+	atLast                     float64 // chance of errors in the last step
+}
+
+// A trial is a roll-out over several instances, whose evidence reaches the
+// others late.
+type trial struct {
+	instances int
+	delay     int // requests of all sessions that pass before evidence is known
+	random    *rand.Rand
+	gates     []Gate
+	state     State
+	known     Evidence
+	inFlight  []outcome
+	reached   int // requests that the new version got while it was bad
+	proven    int // good answers of earlier segments
+	sent      int // requests of all sessions
+	now       time.Time
+}
+
+type outcome struct {
+	at       int
+	instance int
+	segment  int
+	evidence Evidence
+	answered bool
+	isNew    bool
+}
+
+var shares = []int{1, 5, 25, 50, 100}
+
+const (
+	perSecond = 50 // requests of a deployment of today's size
+	ratedTen  = 4  // rated answers out of ten
+)
+
+func newTrial(seed uint64, instances int) *trial {
+	return &trial{instances: instances, delay: 2 * perSecond, random: rand.New(rand.NewPCG(seed, seed)), gates: make([]Gate, instances), state: State{Since: start}, now: start}
+}
+
+// run plays requests until the roll-out ends or n were sent.
+func (tr *trial) run(old, next version, n int) {
+	for tr.sent = 0; tr.sent < n && tr.state.Stopped == "" && !tr.state.Done; tr.sent++ {
+		tr.now = tr.now.Add(time.Second / perSecond)
+		tr.learn()
+		i := tr.random.IntN(tr.instances)
+		isNew := tr.random.IntN(100) < tr.state.Share(shares) && tr.gates[i].Enter(Pilot(i), max(tr.proven, tr.known.New.Errors.Good))
+		v := old
+		if isNew {
+			v = next
+			atLast := tr.state.Step == len(shares)-1
+			if next.atLast == 0 || atLast {
+				tr.reached++
+			}
+			if next.atLast > 0 && atLast {
+				v.errors = next.atLast
+			}
+		}
+		tr.inFlight = append(tr.inFlight, tr.outcome(v, i, isNew))
+	}
+}
+
+func (tr *trial) outcome(v version, instance int, isNew bool) outcome {
+	o := outcome{at: tr.sent + tr.delay, instance: instance, segment: tr.state.Segment, isNew: isNew}
+	failed := tr.random.Float64() < v.errors
+	o.answered = !failed
+	a := Arm{Errors: count(failed)}
+	if !failed {
+		a.Latency = count(tr.random.Float64() < v.slow)
+		if tr.random.IntN(10) < ratedTen {
+			a.Ratings = count(tr.random.Float64() < v.insufficient)
+		}
+	}
+	if isNew {
+		o.evidence.New = a
+	} else {
+		o.evidence.Old = a
+	}
+	return o
+}
+
+func count(bad bool) tally.Counts {
+	if bad {
+		return tally.Counts{Bad: 1}
+	}
+	return tally.Counts{Good: 1}
+}
+
+// learn takes the outcomes into account that are known by now.
+func (tr *trial) learn() {
+	for len(tr.inFlight) > 0 && tr.inFlight[0].at <= tr.sent {
+		o := tr.inFlight[0]
+		tr.inFlight = tr.inFlight[1:]
+		if o.isNew {
+			tr.gates[o.instance].Leave(o.answered)
+		}
+		tr.known.Old = tr.known.Old.Plus(o.evidence.Old)
+		if o.segment == tr.state.Segment {
+			tr.known.New = tr.known.New.Plus(o.evidence.New)
+		}
+	}
+	next, changed := Advance(tr.state, tr.known, len(shares), tr.now, false)
+	if changed && next.Segment != tr.state.Segment {
+		tr.proven = max(tr.proven, tr.known.New.Errors.Good)
+		tr.known.New = Arm{}
+	}
+	tr.state = next
+}
+
+// fixedSteps returns the requests that reach a version which is stopped by
+// hand, when each step takes a fixed time and an operator looks after it.
+func fixedSteps(seed uint64, badFrom int) int {
+	const stepRequests = perSecond * 10 * 60
+	r := rand.New(rand.NewPCG(seed, seed))
+	reached := 0
+	for range stepRequests {
+		if r.IntN(100) < shares[badFrom] {
+			reached++
+		}
+	}
+	return reached
+}
+
+var oldVersion = version{errors: 0.005, slow: 0.03, insufficient: 0.08}
+
+var badVersions = []struct {
+	name    string
+	version version
+	bound   int // most requests that may reach it; 0 where the users state none
+	badFrom int // step from which it is bad
+}{
+	{name: "fails outright", version: version{errors: 1}, bound: 20},
+	{name: "fails one in five", version: version{errors: 0.2, slow: 0.03, insufficient: 0.08}, bound: 150},
+	{name: "answers worse without errors", version: version{errors: 0.005, slow: 0.03, insufficient: 0.35}},
+	{name: "slow", version: version{errors: 0.005, slow: 0.5, insufficient: 0.08}},
+	{name: "turns bad at a full share", version: version{errors: 0.005, slow: 0.03, insufficient: 0.08, atLast: 0.5}, badFrom: len(shares) - 1},
+}
+
+const trialRequests = 200_000
+
+func TestExposureToBadVersions(t *testing.T) {
+	for _, bad := range badVersions {
+		for seed := uint64(1); seed <= 20; seed++ {
+			tr := newTrial(seed, 7)
+			tr.run(oldVersion, bad.version, trialRequests)
+			if tr.state.Stopped == "" {
+				t.Errorf("%s, seed %d: not stopped after %d requests", bad.name, seed, tr.sent)
+			}
+			if bad.bound > 0 && tr.reached > bad.bound {
+				t.Errorf("%s, seed %d: %d requests reached it, more than %d", bad.name, seed, tr.reached, bad.bound)
+			}
+		}
+	}
+}
+
+// TestFalseStops plays 1,000 roll-outs of a version as good as the old one. At
+// most one in a hundred may be stopped.
+func TestFalseStops(t *testing.T) {
+	is := is.New(t)
+	const trials = 1000
+	ends := make(chan State, trials)
+	var running sync.WaitGroup
+	for worker := range uint64(8) {
+		running.Go(func() {
+			for seed := worker + 1; seed <= trials; seed += 8 {
+				tr := newTrial(seed, 7)
+				tr.run(oldVersion, oldVersion, trialRequests)
+				ends <- tr.state
+			}
+		})
+	}
+	running.Wait()
+	close(ends)
+	stopped := 0
+	for s := range ends {
+		if s.Stopped != "" {
+			stopped++
+		} else {
+			is.True(s.Done)
+		}
+	}
+	t.Logf("%d of %d good versions were stopped", stopped, trials)
+	if stopped > trials/100 {
+		t.Errorf("%d of %d good versions were stopped", stopped, trials)
+	}
+}
+
+// BenchmarkMeasureExposure reports the requests that reach each bad version
+// before the stop, beside those that fixed steps of ten minutes let through,
+// and the time of a good roll-out.
+func BenchmarkMeasureExposure(b *testing.B) {
+	for _, bad := range badVersions {
+		b.Run(fmt.Sprint(bad.name), func(b *testing.B) {
+			reached, fixed, n := 0, 0, 0
+			for b.Loop() {
+				n++
+				tr := newTrial(uint64(n), 7)
+				tr.run(oldVersion, bad.version, trialRequests)
+				reached += tr.reached
+				fixed += fixedSteps(uint64(n), bad.badFrom)
+			}
+			b.ReportMetric(float64(reached)/float64(n), "requests")
+			b.ReportMetric(float64(fixed)/float64(n), "with-fixed-steps")
+		})
+	}
+	b.Run("good", func(b *testing.B) {
+		var minutes float64
+		n := 0
+		for b.Loop() {
+			n++
+			tr := newTrial(uint64(n), 7)
+			tr.run(oldVersion, oldVersion, trialRequests)
+			minutes += tr.now.Sub(start).Minutes()
+		}
+		b.ReportMetric(minutes/float64(n), "minutes")
+	})
+}
