node: roll-outs that move and stop by evidence; cascades that learn

Cause: the decisions of core/rollout and core/cascade were not in use. Change: each instance counts evidence and spreads it by gossip; any instance stops, the first live one moves on by compare-and-set; a caller whose trial of a new version fails gets the old one's answer; sessions leave a stopped version once. An answer with status 500 no longer counts against its upstream's ramp. Measured in virtual time: a version that fails outright reached at most 20 of 300 requests, no caller noticed; a roll-out goes on after each instance was replaced, and holds while the platform is down; streams of a learnt class need no rating.

--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -66,4 +66,5 @@
 	Refused                    // the upstream refused it as overloaded or starting
 	Unreachable                // no connection
 	Broken                     // the connection or the answer broke after the start
+	Failed                     // the upstream runs, and answered that the request failed
 )
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -107,7 +107,7 @@
 		if u.failures++; u.failures >= brokenBeforeDown {
 			u.failed(now)
 		}
-	case Abandoned:
+	case Abandoned, Failed:
 	}
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -24,6 +24,8 @@
 	// Moved is the withdrawn version that the session had to leave; zero when
 	// the session keeps its versions.
 	Moved rules.Target
+	// Trial is the roll-out whose gate the plan has entered, or nil.
+	Trial *rules.Rollout
 }
 
 // Targets returns the steps of the plan.
@@ -45,96 +47,129 @@
 	return p.Steps[0].Model
 }
 
+// Rollouts tells how far the roll-outs have come.
+type Rollouts interface {
+	// Enter reports whether a new session gets the new version of a roll-out.
+	Enter(r *rules.Rollout, percentile int) bool
+	// Stopped reports whether the roll-out's new version was found bad.
+	Stopped(r *rules.Rollout) bool
+}
+
+// A resolver makes one plan.
+type resolver struct {
+	set          *rules.Set
+	organisation *rules.Organisation
+	session      *session.Session
+	rollouts     Rollouts
+	plan         Plan
+}
+
 // Resolve returns the plan for the name that a caller sent as model: a model,
 // a model with a version, or a class. It updates the versions of the session.
-func Resolve(set *rules.Set, organisation *rules.Organisation, name string, s *session.Session) (Plan, *refusal.Error) {
+func Resolve(set *rules.Set, organisation *rules.Organisation, name string, s *session.Session, rollouts Rollouts) (Plan, *refusal.Error) {
+	r := resolver{set: set, organisation: organisation, session: s, rollouts: rollouts}
 	class, ok := set.Classes[name]
 	if !ok {
-		var p Plan
-		return p, p.add(set, organisation, rules.ParseTarget(name), s)
+		err := r.add(rules.ParseTarget(name))
+		return r.plan, err
 	}
 	if !set.ClassAllowed(organisation.ID, class.ID) {
 		return Plan{}, notAllowed(organisation, name)
 	}
-	p := Plan{Class: class}
-	for _, m := range class.Models {
-		if err := p.add(set, organisation, rules.ParseTarget(m), s); err != nil && p.Len == 0 && m == class.Models[len(class.Models)-1] {
+	r.plan.Class = class
+	for i, m := range class.Models {
+		err := r.add(rules.ParseTarget(m))
+		// A model that can't be used leaves the others.
+		if err != nil && r.plan.Len == 0 && i == len(class.Models)-1 {
 			return Plan{}, err
 		}
 	}
-	return p, nil
+	return r.plan, nil
 }
 
-func (p *Plan) add(set *rules.Set, organisation *rules.Organisation, t rules.Target, s *session.Session) *refusal.Error {
-	if p.Len == MaxSteps {
+func (r *resolver) add(t rules.Target) *refusal.Error {
+	if r.plan.Len == MaxSteps {
 		return nil
 	}
-	if t.Version != "" {
-		if err := checkExact(set, organisation, t, s); err != nil {
-			return err
-		}
-		p.push(t)
-		return nil
+	if t.Version == "" {
+		return r.addModel(t.Model)
+	}
+	if err := r.checkExact(t); err != nil {
+		return err
 	}
-	return p.addModel(set, organisation, t.Model, s)
+	r.push(t)
+	return nil
 }
 
-func (p *Plan) push(t rules.Target) {
-	p.Steps[p.Len] = t
-	p.Len++
+func (r *resolver) push(t rules.Target) {
+	r.plan.Steps[r.plan.Len] = t
+	r.plan.Len++
 }
 
 // checkExact checks a version that the caller or the class names itself.
-func checkExact(set *rules.Set, organisation *rules.Organisation, t rules.Target, s *session.Session) *refusal.Error {
-	v := set.Versions[t]
-	if v == nil || !set.Allowed(organisation.ID, t) {
-		return notAllowed(organisation, t.String())
+func (r *resolver) checkExact(t rules.Target) *refusal.Error {
+	v := r.set.Versions[t]
+	if v == nil || !r.set.Allowed(r.organisation.ID, t) {
+		return notAllowed(r.organisation, t.String())
 	}
-	if v.State == rules.Withdrawn {
-		return withdrawn(t)
-	}
-	if v.State == rules.Draining && s.Versions[t.Model] != t.Version {
+	if v.State == rules.Withdrawn || v.State == rules.Draining && r.session.Versions[t.Model] != t.Version {
 		return withdrawn(t)
 	}
 	return nil
 }
 
-func (p *Plan) addModel(set *rules.Set, organisation *rules.Organisation, model string, s *session.Session) *refusal.Error {
-	if kept, ok := s.Versions[model]; ok {
+func (r *resolver) addModel(model string) *refusal.Error {
+	if kept, ok := r.session.Versions[model]; ok {
 		t := rules.Target{Model: model, Version: kept}
-		v := set.Versions[t]
-		if v != nil && v.State != rules.Withdrawn && set.Allowed(organisation.ID, t) {
-			p.push(t)
+		if r.keeps(t) {
+			r.push(t)
 			return nil
 		}
-		p.Moved = t
+		r.plan.Moved = t
 	}
-	t, err := choose(set, organisation, model, s)
+	t, err := r.choose(model)
 	if err != nil {
 		return err
 	}
-	s.Versions[model] = t.Version
-	p.push(t)
+	r.session.Versions[model] = t.Version
+	r.push(t)
 	return nil
 }
 
+// keeps reports whether the session stays on its version.
+func (r *resolver) keeps(t rules.Target) bool {
+	v := r.set.Versions[t]
+	if v == nil || v.State == rules.Withdrawn || !r.set.Allowed(r.organisation.ID, t) {
+		return false
+	}
+	rollout := r.set.Rollouts[t.Model]
+	return rollout == nil || rollout.To != t.Version || !r.rollouts.Stopped(rollout)
+}
+
 // choose returns the version for a new session.
-func choose(set *rules.Set, organisation *rules.Organisation, model string, s *session.Session) (rules.Target, *refusal.Error) {
-	if r := set.Rollouts[model]; r != nil {
-		t := rules.Target{Model: model, Version: r.From}
-		if !s.Unsure && session.Percentile(organisation.ID, s.ID, model) < r.Share() {
-			t.Version = r.To
-		}
-		if usable(set, organisation, set.Versions[t]) {
+func (r *resolver) choose(model string) (rules.Target, *refusal.Error) {
+	if rollout := r.set.Rollouts[model]; rollout != nil {
+		if t, ok := r.chooseByRollout(rollout); ok {
 			return t, nil
 		}
 	}
-	for _, v := range set.VersionsOf(model) {
-		if usable(set, organisation, v) {
+	for _, v := range r.set.VersionsOf(model) {
+		if usable(r.set, r.organisation, v) {
 			return v.Target(), nil
 		}
 	}
-	return rules.Target{}, notAllowed(organisation, model)
+	return rules.Target{}, notAllowed(r.organisation, model)
+}
+
+func (r *resolver) chooseByRollout(rollout *rules.Rollout) (rules.Target, bool) {
+	from := rules.Target{Model: rollout.Model, Version: rollout.From}
+	to := rules.Target{Model: rollout.Model, Version: rollout.To}
+	percentile := session.Percentile(r.organisation.ID, r.session.ID, rollout.Model)
+	if !r.session.Unsure && usable(r.set, r.organisation, r.set.Versions[to]) && r.rollouts.Enter(rollout, percentile) {
+		r.plan.Trial = rollout
+		return to, true
+	}
+	return from, usable(r.set, r.organisation, r.set.Versions[from])
 }
 
 func usable(set *rules.Set, organisation *rules.Organisation, v *rules.Version) bool {
--- a/core/rules/kinds.go
+++ b/core/rules/kinds.go
@@ -122,11 +122,12 @@
 	From          string `toml:"from"`
 	To            string `toml:"to"`
 	SharesPercent []int  `toml:"shares-percent"` // rising, 1 to 100
-	Step          int    `toml:"step"`           // index into SharesPercent
+	Step          int    `toml:"step"`           // index into SharesPercent at which it begins
+	Manual        bool   `toml:"manual"`         // it stays at Step until an operator changes it, but still stops
 }
 
-// Share returns the percentage of new sessions that get the new version.
-func (r *Rollout) Share() int { return r.SharesPercent[r.Step] }
+// Key names the roll-out's state.
+func (r *Rollout) Key() string { return r.Model + "/" + r.From + "/" + r.To }
 
 // A FailureDomain holds entry instances and upstreams that fail together.
 type FailureDomain struct {
--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -87,6 +87,10 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if faults.FailModel != "" && faults.FailModel == request.Model {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if !run.wait(r, e.FirstToken) {
 		return
 	}
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -21,6 +21,7 @@
 	SilentAfter int    // sends nothing more after so many pieces; 0 means never
 	ForeignID   bool   // answers with the id of another attempt
 	CrashOn     string // a prompt with this text crashes the process
+	FailModel   string // answers 500 to requests for this model and version
 }
 
 // An Engine answers chat completions. Set the exported fields before Handler
--- a/fake/platform/platform.go
+++ b/fake/platform/platform.go
@@ -99,6 +99,9 @@
 	return counts
 }
 
+// Count returns how many calls of an operation on a table reached the stores.
+func (p *Platform) Count(op, table string) int { return p.Counts()[Call{Op: op, Table: table}] }
+
 // Get returns a row.
 func (p *Platform) Get(_ context.Context, table, key string) (platform.Row, error) {
 	var row platform.Row
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -79,7 +79,7 @@
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return &RejectedError{Upstream: a.Upstream, Status: status, Body: body}
 	default:
-		return &BrokenError{Upstream: a.Upstream, Cause: errors.New(response.Status)}
+		return &BrokenError{Upstream: a.Upstream, Cause: errors.New(response.Status), Status: status}
 	}
 }
 
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -89,6 +89,9 @@
 type BrokenError struct {
 	Upstream string
 	Cause    error
+	// Status is the HTTP status of an answer that reports a failure, so that the
+	// engine itself still runs; 0 when the connection broke.
+	Status int
 	// Stale says that the connection had been used before and broke before the
 	// answer began, which usually means that the engine had closed it.
 	Stale bool
--- a/io/platform/rules.go
+++ b/io/platform/rules.go
@@ -19,6 +19,7 @@
 	TableCharges  = "charges"
 	TableSessions = "sessions"
 	TableSlots    = "slots"
+	TableRollouts = "rollouts"
 )
 
 // headKey is the key of the one row of TableRules.
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return err
 		}
-		err = a.relay(answer)
+		err = a.relay(ctx, answer)
 		answer.Close()
 		for resumes := 0; err != nil && r.begun && resumes < maxResumes; resumes++ {
 			err = a.resume(ctx, err)
@@ -158,7 +158,7 @@
 }
 
 // relay passes pieces on until the answer is whole.
-func (a *attempt) relay(answer *engine.Answer) error {
+func (a *attempt) relay(ctx context.Context, answer *engine.Answer) error {
 	r := a.run
 	for {
 		data, err := answer.Next()
@@ -173,7 +173,7 @@
 			a.firstToken = time.Since(a.ticket.Granted())
 		}
 		if !r.begun {
-			r.begin(a.meta())
+			r.begin(ctx, a.meta())
 		}
 		if answer.ReadUsage(data) && !r.request.Usage {
 			continue
@@ -217,7 +217,7 @@
 		return broken
 	}
 	defer answer.Close()
-	return a.relay(answer)
+	return a.relay(ctx, answer)
 }
 
 func resumable(err error) bool {
@@ -236,6 +236,18 @@
 	a.run.node.slots.release(a.ticket, outcome(ctx, err), a.firstToken)
 	a.run.noteRun(err)
 	a.noteCrash(ctx, err)
+	a.noteEvidence(ctx, err)
+}
+
+// noteEvidence counts a run for the roll-outs. What the caller or an overloaded
+// upstream ended says nothing about the version.
+func (a *attempt) noteEvidence(ctx context.Context, err error) {
+	switch outcome(ctx, err) {
+	case dispatch.Answered:
+		a.run.node.rollouts.countRun(a.run.request.Rules, a.target, true, a.firstToken)
+	case dispatch.Broken, dispatch.Failed:
+		a.run.node.rollouts.countRun(a.run.request.Rules, a.target, false, 0)
+	}
 }
 
 func outcome(ctx context.Context, err error) dispatch.Outcome {
@@ -249,6 +261,8 @@
 		return dispatch.Answered
 	case ctx.Err() != nil, errors.As(err, &slow), errors.As(err, &broken) && broken.Stale:
 		return dispatch.Abandoned
+	case errors.As(err, &broken) && broken.Status != 0:
+		return dispatch.Failed
 	case errors.As(err, &unreachable):
 		return dispatch.Unreachable
 	case errors.As(err, &refused):
--- a/node/complete.go
+++ b/node/complete.go
@@ -12,6 +12,7 @@
 	"banyanyard/core/refusal"
 	"banyanyard/core/route"
 	"banyanyard/core/rules"
+	"banyanyard/core/session"
 	"banyanyard/io/caller"
 	"banyanyard/io/engine"
 
@@ -29,6 +30,7 @@
 	request  *caller.Completion
 	out      caller.Output
 	plan     route.Plan
+	before   *session.Session // as the caller sent it
 	arrived  time.Time
 	begun    bool          // the caller has been told where the answer comes from
 	mayRan   bool          // an attempt may have run
@@ -48,7 +50,7 @@
 }
 
 func (r *completion) run(ctx context.Context) error {
-	if err := r.resolve(ctx); err != nil {
+	if err := r.resolve(ctx, r.node.rollouts); err != nil {
 		return err
 	}
 	r.node.retries.request(r.request.Organisation.ID)
@@ -59,7 +61,7 @@
 		return refusal.New(refusal.ChargesPending, "send the request to another instance", "too many charges wait for the platform").After(time.Second)
 	}
 	r.spent = charge.Charge{Request: r.request.ID, Organisation: r.request.Organisation.ID, Class: r.plan.ClassName()}
-	err := r.answer(ctx)
+	err := r.answerByTrial(ctx)
 	if r.spent.At.IsZero() {
 		r.node.charges.unreserve()
 	}
@@ -67,17 +69,22 @@
 }
 
 // resolve makes the plan and keeps the versions that the session gets. Where
-// another instance has kept the session in the meantime, its versions win.
-func (r *completion) resolve(ctx context.Context) error {
+// another instance has kept the session in the meantime, its versions win. A
+// session that tries a new version keeps it once that has answered.
+func (r *completion) resolve(ctx context.Context, rollouts route.Rollouts) error {
 	for {
 		session := r.request.Session.Clone()
-		plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, session)
+		plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, session, rollouts)
 		if refused != nil {
 			return refused
 		}
-		kept := r.node.sessions.keep(ctx, r.request.Session, session)
-		if kept == nil {
+		var kept = session
+		if plan.Trial == nil {
+			kept = r.node.sessions.keep(ctx, r.request.Session, session)
+		}
+		if kept == nil || plan.Trial != nil {
 			r.plan = plan
+			r.before = r.request.Session
 			r.request.Session = session
 			return nil
 		}
@@ -85,6 +92,31 @@
 	}
 }
 
+// noTrials gives every new session the old version.
+type noTrials struct{ *rollouts }
+
+// Enter implements route.Rollouts.
+func (noTrials) Enter(*rules.Rollout, int) bool { return false }
+
+// answerByTrial answers with the new version of a roll-out, and with the old one
+// where that fails before the caller has got anything of it.
+func (r *completion) answerByTrial(ctx context.Context) error {
+	trial := r.plan.Trial
+	if trial == nil {
+		return r.answer(ctx)
+	}
+	err := r.answer(ctx)
+	r.node.rollouts.leave(trial, err == nil || ctx.Err() != nil)
+	if err == nil || r.begun || ctx.Err() != nil {
+		return err
+	}
+	r.request.Session = r.before
+	if err := r.resolve(ctx, noTrials{r.node.rollouts}); err != nil {
+		return err
+	}
+	return r.answer(ctx)
+}
+
 func (r *completion) checkContext() error {
 	model := r.request.Rules.Models[r.plan.Steps[0].Model]
 	if r.request.MaxTokens > model.ContextTokens {
@@ -93,29 +125,9 @@
 	return nil
 }
 
-// answer runs the steps of the plan until one suffices.
-func (r *completion) answer(ctx context.Context) error {
-	targets := r.plan.Targets()
-	last := targets[len(targets)-1]
-	for _, t := range targets[:len(targets)-1] {
-		done, err := r.tryCheaper(ctx, t)
-		if err != nil || done {
-			return err
-		}
-	}
-	if r.request.Stream {
-		return r.stream(ctx, last)
-	}
-	body, meta, err := r.whole(ctx, last)
-	if err != nil {
-		return err
-	}
-	return r.deliver(ctx, body, meta)
-}
-
 // deliver sends a whole answer in the form that the caller asked for.
 func (r *completion) deliver(ctx context.Context, body []byte, meta caller.Meta) error {
-	r.begin(meta)
+	r.begin(ctx, meta)
 	if !r.request.Stream {
 		r.commit(ctx)
 		r.out.Whole(body)
@@ -141,9 +153,12 @@
 	return nil
 }
 
-func (r *completion) begin(meta caller.Meta) {
+func (r *completion) begin(ctx context.Context, meta caller.Meta) {
 	now := time.Now()
 	r.begun = true
+	if r.plan.Trial != nil {
+		r.node.sessions.keep(ctx, r.before, r.request.Session)
+	}
 	r.lastAt = now
 	r.out.Begin(meta)
 	r.gap = r.series().gap
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -10,6 +10,7 @@
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
 	"banyanyard/core/revision"
+	"banyanyard/core/rollout"
 	"banyanyard/core/rules"
 	"banyanyard/io/peer"
 	"banyanyard/io/platform"
@@ -161,12 +162,36 @@
 	if epochErr == nil {
 		n.send(ctx, epochRead{epoch: epoch, version: version})
 	}
+	n.pollRollouts(ctx, callCtx)
 	if err := errors.Join(listErr, headErr, epochErr); err != nil && ctx.Err() == nil {
 		n.metrics.platformErrors.Inc()
 		n.log.WithError(err).Warn("the platform could not be read; the rules in force stay")
 	}
 }
 
+// pollRollouts reads the states of the roll-outs, so that an instance that
+// starts takes them up.
+func (n *Node) pollRollouts(ctx, callCtx context.Context) {
+	s := n.snapshot.Load()
+	if s == nil {
+		return
+	}
+	for _, rule := range s.Rules.Rollouts {
+		state, version, err := n.readRollout(callCtx, rule.Key())
+		if err == nil && version != "" {
+			n.send(ctx, rolloutRead{rule: rule, state: state})
+		}
+	}
+}
+
+// rolloutRead is the state of a roll-out in the platform's table.
+type rolloutRead struct {
+	rule  *rules.Rollout
+	state rollout.State
+}
+
+func (e rolloutRead) apply(c *control) { c.stateKnown(e.rule, e.state) }
+
 // pause waits for d or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/node/control.go
+++ b/node/control.go
@@ -39,6 +39,9 @@
 	changing bool                  // a change of the epoch is under way
 	fetching int64                 // number of the head that is being read; 0 for none
 	nextSync time.Time
+	// nextEvidence is when the roll-outs' evidence is looked at again.
+	nextEvidence time.Time
+	moving       map[string]bool // roll-outs whose row is being written
 }
 
 func newControl(ctx context.Context, n *Node) *control {
@@ -49,6 +52,7 @@
 		shares:   slot.NewShares(n.identity.ID),
 		levels:   map[string]ramp.Level{},
 		asking:   map[string]bool{},
+		moving:   map[string]bool{},
 	}
 	if seeds := n.settings.Instance.Peers; len(seeds) > 0 {
 		c.detector.Seed(seedsOf(seeds))
@@ -90,6 +94,7 @@
 	c.noteLevels()
 	c.askForSlots(now)
 	c.syncWithOne(now)
+	c.driveRollouts(now)
 }
 
 // send hands an event to the control goroutine.
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -103,7 +103,7 @@
 		if count, suspect := r.node.crashes.answered(r.fingerprint()); suspect {
 			r.node.send(ctx, crashCounted{r.fingerprint(), count})
 		}
-	case errors.As(err, &broken) && !broken.Stale && ctx.Err() == nil:
+	case errors.As(err, &broken) && !broken.Stale && broken.Status == 0 && ctx.Err() == nil:
 		count := r.node.crashes.broke(r.fingerprint(), a.ticket.Alone())
 		r.node.send(ctx, crashCounted{r.fingerprint(), count})
 		r.entry().WithField("fingerprint", string(r.fingerprint())).Warn("an upstream broke while it ran this request")
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -274,3 +274,13 @@
 		return platformfake.None
 	}
 }
+
+// failOp makes every call of one operation fail.
+func failOp(op string) func(platformfake.Call) platformfake.Fault {
+	return func(c platformfake.Call) platformfake.Fault {
+		if c.Op == op {
+			return platformfake.Refuse
+		}
+		return platformfake.None
+	}
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -15,12 +15,14 @@
 
 // Prefixes of the keys in gossip.
 const (
-	keyHead   = "head"    // the newest configuration
-	keyMember = "member/" // status of a member, by identifier
-	keyRamp   = "ramp/"   // ramp level of an upstream
-	keyEpoch  = "epoch/"  // epoch that a member acts on
-	keyForce  = "force/"  // revision that a member has in force
-	keyCrash  = "crash/"  // broken runs of a request, by fingerprint and member
+	keyHead     = "head"      // the newest configuration
+	keyMember   = "member/"   // status of a member, by identifier
+	keyRamp     = "ramp/"     // ramp level of an upstream
+	keyEpoch    = "epoch/"    // epoch that a member acts on
+	keyForce    = "force/"    // revision that a member has in force
+	keyCrash    = "crash/"    // broken runs of a request, by fingerprint and member
+	keyRollout  = "rollout/"  // state of a roll-out
+	keyEvidence = "evidence/" // evidence about a roll-out, by member
 )
 
 const (
@@ -70,6 +72,8 @@
 			c.learnActing(e)
 		case strings.HasPrefix(e.Key, keyCrash):
 			c.node.crashes.learn(e)
+		case strings.HasPrefix(e.Key, keyRollout), strings.HasPrefix(e.Key, keyEvidence):
+			c.learnRollout(e)
 		}
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -37,6 +37,7 @@
 	pendingCharges prometheus.Gauge
 	revision       prometheus.Gauge
 	platformErrors prometheus.Counter
+	unrated        prometheus.Counter
 	series         sync.Map // seriesKey to *series
 }
 
@@ -55,7 +56,8 @@
 		revision:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "revision", Help: "Revision of the rules in force."}),
 		platformErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "platform_errors_total", Help: "Looks at the platform that failed."}),
 	}
-	m.registry.MustRegister(m.request, m.firstToken, m.gap, m.refusals, m.retries, m.spent, m.escalations, m.charges, m.pendingCharges, m.revision, m.platformErrors)
+	m.unrated = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "unrated_total", Help: "Answers that waited for a rating in vain and went to the next model."})
+	m.registry.MustRegister(m.unrated, m.request, m.firstToken, m.gap, m.refusals, m.retries, m.spent, m.escalations, m.charges, m.pendingCharges, m.revision, m.platformErrors)
 	return m
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -83,6 +83,8 @@
 	charges  *charges
 	sessions *sessions
 	crashes  *crashes
+	rollouts *rollouts
+	learners *learners
 	retries  *retries
 	events   chan event // to the control goroutine
 	// background counts what outlives its request and ends before the
@@ -125,6 +127,8 @@
 	n.charges = newCharges(n)
 	n.sessions = newSessions(c.Store)
 	n.crashes = &crashes{self: n.identity.ID}
+	n.rollouts = &rollouts{}
+	n.learners = newLearners()
 	n.handler = caller.New(n, callerLimits(&c.Settings))
 	n.handOver = newHandOver(n, c.Dial, n.peerClientTLS)
 	return n, nil
--- /dev/null
+++ b/node/rollout_test.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	enginefake "banyanyard/fake/engine"
+	"banyanyard/io/caller"
+	"banyanyard/io/platform"
+)
+
+// withRollout adds a second version of the small model and a roll-out to it.
+func (d *deployment) withRollout(manual bool) {
+	text := strings.ReplaceAll(d.rules, `serves = ["small@v1"]`, `serves = ["small@v1", "small@v2"]`)
+	text += "version = { model = \"small\", id = \"v2\", state = \"serving\", input-cost = 1, output-cost = 4 } # T: test\n"
+	text += fmt.Sprintf("rollout = { model = \"small\", from = \"v1\", to = \"v2\", shares-percent = [20, 60, 100], manual = %t } # T: test\n", manual)
+	d.apply(text)
+	time.Sleep(2 * settleTime)
+}
+
+// ranVersion counts the runs of a model's version.
+func (d *deployment) ranVersion(target string) int {
+	n := 0
+	for _, e := range d.engines {
+		n += e.Record().ByModel[target]
+	}
+	return n
+}
+
+func TestBadVersionStopsByItselfUnnoticed(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.withRollout(false)
+		d.setFaults("small", enginefake.Faults{FailModel: "small@v2"})
+		for i := range 300 {
+			r := d.send(request{node: i % 3, body: completionBody("small", "hello", i%2 == 0)})
+			d.is.Equal(r.status, 200)
+			d.is.Equal(r.header.Get(caller.HeaderVersion), "v1")
+		}
+		reached := d.ranVersion("small@v2")
+		d.is.True(reached > 0)
+		d.is.True(reached <= 20)
+		time.Sleep(5 * time.Second)
+		for i := range 60 {
+			d.send(request{node: i % 3})
+		}
+		d.is.Equal(d.ranVersion("small@v2"), reached)
+		row, err := d.platform.Get(t.Context(), platform.TableRollouts, rolloutRow("small/v1/v2"))
+		d.is.NoErr(err)
+		d.is.True(strings.Contains(string(row.Value), "errors: "))
+	})
+}
+
+func TestVersionThatTurnsBadMovesItsSessionsOnce(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.withRollout(true)
+		var token string
+		for range 200 {
+			r := d.send(request{})
+			if r.header.Get(caller.HeaderVersion) == "v2" {
+				token = r.header.Get(caller.HeaderSession)
+			}
+		}
+		d.is.True(token != "")
+		d.setFaults("small", enginefake.Faults{FailModel: "small@v2"})
+		for i := range 200 {
+			d.send(request{node: i % 3})
+		}
+		time.Sleep(5 * time.Second)
+		moved := d.send(request{header: map[string]string{caller.HeaderSession: token}})
+		d.is.Equal(moved.header.Get(caller.HeaderVersion), "v1")
+		d.is.Equal(moved.header.Get(caller.HeaderSessionMoved), "small@v2")
+		again := d.send(request{header: map[string]string{caller.HeaderSession: moved.header.Get(caller.HeaderSession)}})
+		d.is.Equal(again.header.Get(caller.HeaderSessionMoved), "")
+	})
+}
+
+func TestRolloutGoesOnUnderAnotherInstance(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.withRollout(false)
+		load := func(n int) {
+			for i := range n {
+				d.send(request{node: i % len(d.nodes)})
+			}
+		}
+		load(900)
+		time.Sleep(3 * time.Minute)
+		before := d.ranVersion("small@v2")
+		d.is.True(before > 0)
+		for i := range 3 { // the driver is one of them
+			d.kill(d.nodes[i])
+			d.replace(i)
+			time.Sleep(30 * time.Second)
+		}
+		load(900)
+		time.Sleep(3 * time.Minute)
+		load(300)
+		share := float64(d.ranVersion("small@v2")-before) / 1200
+		d.is.True(share > 0.4) // beyond the first step
+	})
+}
+
+func TestRolloutHoldsWhileThePlatformIsDown(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.withRollout(false)
+		d.platformDown()
+		for i := range 900 {
+			d.send(request{node: i % 3})
+		}
+		time.Sleep(10 * time.Minute)
+		before := d.ranVersion("small@v2")
+		for i := range 300 {
+			d.send(request{node: i % 3})
+		}
+		d.is.True(d.ranVersion("small@v2")-before < 110) // still the first step's 20%
+	})
+}
+
+func TestCascadeLearnsToAnswerCheaply(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for i := range 400 {
+			r := d.send(request{node: i % 3, body: completionBody("question", "tag this listing", false)})
+			d.is.Equal(r.status, 200)
+			time.Sleep(time.Second)
+		}
+		rated := d.platform.Count("rate", "")
+		for i := range 60 {
+			d.send(request{node: i % 3, body: completionBody("question", "tag this listing", true)})
+			time.Sleep(time.Second)
+		}
+		d.is.Equal(d.platform.Count("rate", ""), rated) // streams go straight to the cheap model
+		d.is.Equal(d.ran("large"), 0)
+	})
+}
+
+func TestRatingOutageFallsBackToTheLargeModel(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.platform.RateAnswer = rateSmallBad
+		d.send(request{body: completionBody("question", "why", false)})
+		d.platform.SetFaults(failOp("rate"))
+		before := d.ran("small")
+		for range 10 {
+			r := d.send(request{body: completionBody("question", "why", false)})
+			d.is.Equal(r.header.Get(caller.HeaderModel), "large")
+		}
+		d.is.Equal(d.ran("small")-before, 1) // the one that found no rating
+	})
+}
