--- a/node/configuration.go
+++ b/node/configuration.go
@@ -192,6 +192,15 @@
 
 func (e rolloutRead) apply(c *control) { c.stateKnown(e.rule, e.state) }
 
+// jittered returns up to half more than d, so that instances which failed
+// together don't try again together.
+func jittered(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d + rand.N(d/2+1)
+}
+
 // pause waits for d or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/node/once.go
+++ b/node/once.go
@@ -14,42 +14,63 @@
 )
 
 const (
-	// claimTimeout bounds the time to record a call before it runs.
-	claimTimeout = 5 * time.Second
-	// claimPause is the time between attempts to record a call.
-	claimPause = 100 * time.Millisecond
-	// waitPause is the time between looks at another attempt's record.
-	waitPause = 250 * time.Millisecond
 	// recordTimeout bounds the wait of a caller for its answer's record.
 	recordTimeout = 2 * time.Second
 	// settleTimeout bounds the attempts to write what became of a call.
 	settleTimeout = 10 * time.Minute
 	// runTimeout bounds a call whose caller has left.
 	runTimeout = 2 * time.Minute
+	// storeRetryAfter is what a caller is told to wait when the table fails.
+	storeRetryAfter = 5 * time.Second
 )
 
-// A claim is the record of a call that this attempt may run.
-type claim struct {
-	key     string
-	record  once.Record
-	version string // of the row
-}
-
 // runOnce runs a non-idempotent call at most once for its key.
 func (c *serviceCall) runOnce(ctx context.Context) (*caller.ServiceAnswer, error) {
 	if err := checkKey(c.request.IdempotencyKey); err != nil {
 		return nil, err
 	}
-	cl, replay, err := c.claim(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if replay != nil {
-		return &caller.ServiceAnswer{Answer: *replay, Replayed: true}, nil
-	}
-	return c.runClaimed(ctx, cl)
+	key := callKey(c.request.Organisation.ID, c.request.Service, c.request.IdempotencyKey)
+	fingerprint := once.Fingerprint(c.request.Method, c.request.Path+"?"+c.request.Query, c.request.Body)
+	record := once.New(c.attempt, fingerprint, time.Now().UTC())
+	attempt, step := once.Begin(record, time.Now())
+	var result once.Result
+	for step.Op < once.RunCall {
+		pause(ctx, jittered(step.After))
+		if ctx.Err() != nil {
+			step = once.Step{Op: once.GiveUp, Record: record}
+			break
+		}
+		result = c.node.onTable(ctx, key, step)
+		step = attempt.Next(time.Now(), result)
+	}
+	return c.end(ctx, key, record, step)
+}
+
+// end does what an attempt has decided.
+func (c *serviceCall) end(ctx context.Context, key string, record once.Record, step once.Step) (*caller.ServiceAnswer, error) {
+	switch step.Op {
+	case once.RunCall:
+		return c.runClaimed(ctx, key, record, step.Version)
+	case once.SendBack:
+		return &caller.ServiceAnswer{Answer: *step.Record.Answer, Replayed: true}, truncated(step.Record)
+	case once.Conflict:
+		return nil, refusal.New(refusal.IdempotencyKeyReused, "use a fresh key for a new call", "the key was used for another call")
+	case once.InProgress:
+		return nil, c.unknown(refusal.CallInProgress, "an earlier attempt with this key is still running")
+	case once.Lost:
+		return nil, c.unknown(refusal.OutcomeUnknown, "an earlier attempt with this key ended without a known outcome")
+	}
+	// An insert of this attempt may still take effect: the record must then say
+	// that it has not run.
+	c.node.background.Go(func() {
+		settlement, first := once.Withdraw(record)
+		c.node.settle(key, settlement, first)
+	})
+	return nil, storeUnavailable(errTableFails)
 }
 
+var errTableFails = errors.New("the platform's table does not answer")
+
 func checkKey(key string) error {
 	if key == "" {
 		return refusal.New(refusal.IdempotencyKeyMissing, "send a fresh Idempotency-Key with each new call, and the same one when you send it again", "this call is not idempotent and has no key")
@@ -69,122 +90,84 @@
 	return "/services/" + url.PathEscape(c.request.Service) + "/calls/" + url.PathEscape(c.request.IdempotencyKey)
 }
 
-// claim records the call. It returns the stored answer when the call has
-// already run.
-func (c *serviceCall) claim(ctx context.Context) (*claim, *once.Answer, error) {
-	fingerprint := once.Fingerprint(c.request.Method, c.request.Path+"?"+c.request.Query, c.request.Body)
-	cl := &claim{
-		key:    callKey(c.request.Organisation.ID, c.request.Service, c.request.IdempotencyKey),
-		record: once.New(c.attempt, fingerprint, time.Now().UTC()),
-	}
-	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	for {
-		version, err := c.node.store.Insert(claimCtx, platform.TableCalls, cl.key, cl.record)
-		if err == nil {
-			cl.version = version
-			return cl, nil, nil
-		}
-		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) {
-			return c.settle(ctx, cl)
-		}
-		pause(claimCtx, claimPause)
-		if claimCtx.Err() != nil {
-			c.node.background.Go(func() { c.node.withdraw(cl) })
-			return nil, nil, storeUnavailable(err)
-		}
-	}
-}
-
-func storeUnavailable(err error) *refusal.Error {
-	return refusal.New(refusal.StoreUnavailable, "send the call again with the same key after the time in Retry-After", "the call could not be recorded (%v)", err).After(5 * time.Second)
-}
-
-// settle decides about a key that has a record already.
-func (c *serviceCall) settle(ctx context.Context, cl *claim) (*claim, *once.Answer, error) {
-	deadline := time.Now().Add(claimTimeout)
-	for {
-		row, found, err := c.node.readRecord(ctx, cl.key)
-		if err != nil && time.Now().After(deadline) || ctx.Err() != nil {
-			c.node.background.Go(func() { c.node.withdraw(cl) })
-			return nil, nil, storeUnavailable(err)
-		}
-		if err != nil {
-			pause(ctx, claimPause)
-			continue
-		}
-		switch once.Decide(found, cl.record.Attempt, cl.record.Fingerprint, time.Now()) {
-		case once.Run:
-			cl.version = row.Version
-			return cl, nil, nil
-		case once.Replay:
-			return nil, found.Answer, truncated(found)
-		case once.Mismatch:
-			return nil, nil, refusal.New(refusal.IdempotencyKeyReused, "use a fresh key for a new call", "the key was used for another call")
-		case once.Unknown:
-			return nil, nil, c.unknown(refusal.OutcomeUnknown, "an earlier attempt with this key ended without a known outcome")
-		case once.Replace:
-			// A conflict or a lost answer shows in the next look at the row.
-			if version, err := c.node.store.Replace(ctx, platform.TableCalls, cl.key, row.Version, cl.record); err == nil {
-				cl.version = version
-				return cl, nil, nil
-			}
-		case once.Wait:
-			if time.Now().After(deadline) {
-				return nil, nil, c.unknown(refusal.CallInProgress, "an earlier attempt with this key is still running")
-			}
-		}
-		pause(ctx, waitPause)
-	}
-}
-
 func (c *serviceCall) unknown(kind refusal.Kind, detail string) error {
-	e := refusal.New(kind, "look the outcome up", "%s", detail).Ran().After(5 * time.Second)
+	e := refusal.New(kind, "look the outcome up", "%s", detail).Ran().After(storeRetryAfter)
 	e.Lookup = c.lookup()
 	return e
 }
 
+func storeUnavailable(err error) *refusal.Error {
+	return refusal.New(refusal.StoreUnavailable, "send the call again with the same key after the time in Retry-After", "the call could not be recorded (%v)", err).After(storeRetryAfter)
+}
+
 func truncated(r once.Record) error {
-	if r.Answer == nil || !r.Answer.Truncated {
+	if !r.Answer.Truncated {
 		return nil
 	}
 	return refusal.New(refusal.OutcomeUnknown, "the call has run; ask the service for its result", "the call was answered with status %d, but its answer was too large to keep", r.Answer.Status).Ran()
 }
 
-func (n *Node) readRecord(ctx context.Context, key string) (platform.Row, once.Record, error) {
+// onTable carries out a step on the platform's table.
+func (n *Node) onTable(ctx context.Context, key string, s once.Step) once.Result {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Platform.Timeout))
+	defer cancel()
+	var r once.Result
+	var err error
+	switch s.Op {
+	case once.Insert:
+		r.Version, err = n.store.Insert(ctx, platform.TableCalls, key, s.Record)
+	case once.Rewrite:
+		r.Version, err = n.store.Replace(ctx, platform.TableCalls, key, s.Version, s.Record)
+	default:
+		r.Version, r.Record, err = n.readRecord(ctx, key)
+	}
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		r.Status = once.Exists
+	case errors.Is(err, platform.ErrNotFound):
+		r.Status = once.Missing
+	default:
+		r.Status = once.Unclear
+	}
+	return r
+}
+
+func (n *Node) readRecord(ctx context.Context, key string) (string, once.Record, error) {
 	row, err := n.store.Get(ctx, platform.TableCalls, key)
 	if err != nil {
-		return row, once.Record{}, err
+		return "", once.Record{}, err
 	}
 	var r once.Record
-	return row, r, json.Unmarshal(row.Value, &r)
+	return row.Version, r, json.Unmarshal(row.Value, &r)
 }
 
 // runClaimed sends a recorded call. A caller that leaves does not stop it,
 // since its outcome has to be recorded.
-func (c *serviceCall) runClaimed(ctx context.Context, cl *claim) (*caller.ServiceAnswer, error) {
+func (c *serviceCall) runClaimed(ctx context.Context, key string, record once.Record, version string) (*caller.ServiceAnswer, error) {
 	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), runTimeout)
 	defer cancel()
 	answer, err := c.tryUpstreams(runCtx)
 	if err == nil {
-		c.node.record(ctx, cl, cl.record.Finish(answer))
+		c.node.record(ctx, key, record.Finish(answer), version)
 		return &caller.ServiceAnswer{Answer: answer, Upstream: c.upstream}, nil
 	}
 	refused := serviceRefusal(err, c.lookup())
 	if refused.Run == refusal.NotRun {
-		c.node.record(ctx, cl, cl.record.Abandon())
+		c.node.record(ctx, key, record.Abandon(), version)
 	}
 	return nil, refused
 }
 
 // record writes what became of a call. It returns after recordTimeout at the
 // latest and goes on writing in the background.
-func (n *Node) record(ctx context.Context, cl *claim, r once.Record) {
+func (n *Node) record(ctx context.Context, key string, r once.Record, version string) {
 	done := make(chan struct{})
 	n.background.Go(func() {
 		defer close(done)
-		n.settleRecord(cl, r)
+		settlement, first := once.Settle(r, version)
+		n.settle(key, settlement, first)
 	})
 	timer := time.NewTimer(recordTimeout)
 	defer timer.Stop()
@@ -195,47 +178,17 @@
 	}
 }
 
-// settleRecord replaces the claim's row until the platform has said that it
-// holds the outcome.
-func (n *Node) settleRecord(cl *claim, r once.Record) {
+// settle carries a settlement out.
+func (n *Node) settle(key string, s *once.Settlement, step once.Step) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	version := cl.version
-	for {
-		_, err := n.store.Replace(ctx, platform.TableCalls, cl.key, version, r)
-		if err == nil {
-			return
-		}
-		if row, found, readErr := n.readRecord(ctx, cl.key); readErr == nil {
-			if found.Attempt != cl.record.Attempt || found.State != once.Running {
-				return
-			}
-			version = row.Version
-		}
+	for step.Op != once.Finished {
+		pause(ctx, jittered(step.After))
 		if ctx.Err() != nil {
-			n.log.WithError(err).WithField("key", cl.key).Error("the outcome of a call could not be recorded and stays unknown")
-			return
-		}
-		pause(ctx, claimPause)
-	}
-}
-
-// withdraw makes sure that an attempt that was given up leaves no record that
-// says it may have run, even when its insert takes effect late.
-func (n *Node) withdraw(cl *claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		_, err := n.store.Insert(ctx, platform.TableCalls, cl.key, cl.record.Abandon())
-		var conflict *platform.ConflictError
-		if err == nil {
-			return
-		}
-		if errors.As(err, &conflict) {
-			n.settleRecord(cl, cl.record.Abandon())
+			n.log.WithField("key", key).Error("the outcome of a call could not be recorded and stays unknown")
 			return
 		}
-		pause(ctx, time.Second)
+		step = s.Next(n.onTable(ctx, key, step))
 	}
 }
 
