node: take a failure domain out while the platform is down

Cause: without the table, operators could not take a domain out. Change: banyanyard take-out tells one instance; the order only takes away, spreads by gossip and ends with the next configuration. Measured: in virtual time, no new work at the domain 3 s after the order at any of three instances, with the platform down.

--- a/cmd/banyanyard/root.go
+++ b/cmd/banyanyard/root.go
@@ -26,7 +26,7 @@
 		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{cause: err} })
-	root.AddCommand(newServe(), newRules(), newLoad(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newRules(), newTakeOut(), newLoad(), newDemo(), newVersion())
 	return root
 }
 
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -198,3 +198,18 @@
 	d := s.FailureDomains[u.FailureDomain]
 	return d != nil && d.State != Out
 }
+
+// WithDomainsOut returns the set with more failure domains taken out.
+func (s *Set) WithDomainsOut(out func(id string) bool) *Set {
+	changed := *s
+	changed.FailureDomains = make(map[string]*FailureDomain, len(s.FailureDomains))
+	for id, d := range s.FailureDomains {
+		if out(id) {
+			taken := *d
+			taken.State = Out
+			d = &taken
+		}
+		changed.FailureDomains[id] = d
+	}
+	return &changed
+}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -16,6 +17,8 @@
 	Ready() bool
 	// Status describes the instance.
 	Status() Status
+	// TakeOut takes a failure domain out beside the rules, or undoes that.
+	TakeOut(ctx context.Context, t TakeOut) error
 	// MetricsHandler serves the metrics.
 	MetricsHandler() http.Handler
 }
@@ -53,12 +56,21 @@
 	Reachable bool   `json:"reachable"`
 }
 
+// A TakeOut takes a failure domain out until the next configuration is in
+// force, for when the platform can't accept one.
+type TakeOut struct {
+	FailureDomain string `json:"failure-domain"`
+	By            string `json:"by"`
+	Undo          bool   `json:"undo"`
+}
+
 // New returns the handler for operators.
 func New(i Instance) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { serveReady(w, i) })
 	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { serveStatus(w, i) })
+	r.Post("/take-outs", func(w http.ResponseWriter, r *http.Request) { serveTakeOut(w, r, i) })
 	r.Handle("/metrics", i.MetricsHandler())
 	return r
 }
@@ -75,3 +87,19 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(i.Status())
 }
+
+// maxTakeOutBytes bounds the body of a TakeOut.
+const maxTakeOutBytes = 4096
+
+func serveTakeOut(w http.ResponseWriter, r *http.Request, i Instance) {
+	var t TakeOut
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTakeOutBytes)).Decode(&t); err != nil {
+		http.Error(w, "send failure-domain, by and undo as JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := i.TakeOut(r.Context(), t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -13,6 +13,7 @@
 	"banyanyard/core/member"
 	enginefake "banyanyard/fake/engine"
 	"banyanyard/io/caller"
+	"banyanyard/io/operator"
 	"banyanyard/io/platform"
 )
 
@@ -460,3 +461,26 @@
 		d.is.Equal(d.send(request{body: completionBody("small", "poison", false)}).status, 422)
 	})
 }
+
+// TestDomainTakenOutWhileThePlatformIsDown pairs the two faults.
+func TestDomainTakenOutWhileThePlatformIsDown(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.platformDown()
+		err := d.nodes[1].TakeOut(d.t.Context(), operator.TakeOut{FailureDomain: "milano-b", By: "T"})
+		d.is.True(err != nil) // an unknown name
+		d.is.NoErr(d.nodes[1].TakeOut(d.t.Context(), operator.TakeOut{FailureDomain: "milano-a", By: "T"}))
+		time.Sleep(3 * time.Second)
+		before := d.ranAt("small-milano-a")
+		for i := range 30 {
+			d.is.Equal(d.send(request{node: i % 3}).status, 200)
+		}
+		d.is.Equal(d.ranAt("small-milano-a"), before)
+		d.platformUp()
+		d.apply(d.rules + "# the next configuration\n")
+		time.Sleep(settleTime)
+		for i := range 30 {
+			d.send(request{node: i % 3})
+		}
+		d.is.True(d.ranAt("small-milano-a") > before)
+	})
+}
--- a/node/control.go
+++ b/node/control.go
@@ -34,6 +34,7 @@
 	gossip   gossip.Store
 	shares   *slot.Shares
 	levels   map[string]ramp.Level // as gossip has them
+	takeOuts map[string]takeOut    // by failure domain
 	listed   bool                  // the platform's list has been read
 	asking   map[string]bool       // pools for which an ask is under way
 	changing bool                  // a change of the epoch is under way
@@ -51,6 +52,7 @@
 		detector: member.New(n.identity, uint64(time.Now().UnixMilli()), seedOf(n.identity.ID)),
 		shares:   slot.NewShares(n.identity.ID),
 		levels:   map[string]ramp.Level{},
+		takeOuts: map[string]takeOut{},
 		asking:   map[string]bool{},
 		moving:   map[string]bool{},
 	}
@@ -122,9 +124,13 @@
 	if c.rules == nil {
 		return
 	}
-	c.node.snapshot.Store(&Snapshot{Head: c.current.Head(), Rules: c.rules})
+	rules := c.rules
+	if len(c.takeOuts) > 0 {
+		rules = rules.WithDomainsOut(c.takenOut)
+	}
+	c.node.snapshot.Store(&Snapshot{Head: c.current.Head(), Rules: rules})
 	c.node.metrics.revision.Set(float64(c.current.Head().Number))
-	c.node.slots.update(time.Now(), c.rules, c.shares)
+	c.node.slots.update(time.Now(), rules, c.shares)
 	c.node.sharing.Store(c.shares.Any())
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -22,6 +22,7 @@
 	keyForce    = "force/"    // revision that a member has in force
 	keyCrash    = "crash/"    // broken runs of a request, by fingerprint and member
 	keyRollout  = "rollout/"  // state of a roll-out
+	keyTakeOut  = "take-out/" // a failure domain taken out beside the rules
 	keyEvidence = "evidence/" // evidence about a roll-out, by member
 )
 
@@ -70,6 +71,8 @@
 			c.learnLevel(now, e)
 		case strings.HasPrefix(e.Key, keyEpoch):
 			c.learnActing(e)
+		case strings.HasPrefix(e.Key, keyTakeOut):
+			c.learnTakeOut(e)
 		case strings.HasPrefix(e.Key, keyCrash):
 			c.node.crashes.learn(e)
 		case strings.HasPrefix(e.Key, keyRollout), strings.HasPrefix(e.Key, keyEvidence):
