--- a/core/cascade/measure_test.go
+++ b/core/cascade/measure_test.go
@@ -46,55 +46,81 @@
 	sufficed bool
 }
 
+// A policy makes the choice for a request.
+type policy func(time.Time, *Learner, Bucket, *rand.Rand) Choice
+
+// A play is one run of a workload under a policy.
+type play struct {
+	*workload
+	learner Learner
+	pending []late
+	now     time.Time
+	down    bool // the rating service
+	cost    float64
+	good    int
+}
+
 // play runs a workload under a policy.
-func (w *workload) play(seed uint64, choose func(time.Time, *Learner, Bucket, *rand.Rand) Choice) result {
+func (w *workload) play(seed uint64, choose policy) result {
 	r := rand.New(rand.NewPCG(seed, 1))
-	policy := rand.New(rand.NewPCG(seed, 2))
-	l := &Learner{}
-	var pending []late
-	var cost float64
-	good := 0
-	now := start
+	forPolicy := rand.New(rand.NewPCG(seed, 2))
+	p := &play{workload: w, now: start}
 	for i := range requests {
-		now = now.Add(betweenCalls)
-		for len(pending) > 0 && !pending[0].at.After(now) {
-			l.Rated(now, pending[0].bucket, pending[0].sufficed)
-			pending = pending[1:]
-		}
 		share := float64(i) / requests
-		down := share >= outageFrom && share < outageTo
+		p.advance(share)
 		chances := &w.before
 		if share >= 0.5 {
 			chances = &w.after
 		}
 		b := Bucket(r.IntN(Buckets))
-		cheapGood, largeGood, rated := r.Float64() < chances[b], r.Float64() < w.largeGood, r.Float64() < ratedShare
-		switch choose(now, l, b, policy) {
-		case Cheap:
-			cost += w.cheap
-			good += one(cheapGood)
-			if rated && !down {
-				pending = append(pending, late{now.Add(lateRating), b, cheapGood})
-			}
-		case CheapFirst:
-			cost += w.cheap
-			if down {
-				l.Unrated(now)
-			} else {
-				l.Rated(now, b, cheapGood)
-			}
-			if down || !cheapGood {
-				cost += w.large
-				good += one(largeGood)
-			} else {
-				good++
-			}
-		case Large:
-			cost += w.large
-			good += one(largeGood)
+		o := answers{cheapGood: r.Float64() < chances[b], largeGood: r.Float64() < w.largeGood, rated: r.Float64() < ratedShare}
+		p.request(choose(p.now, &p.learner, b, forPolicy), b, o)
+	}
+	return result{cost: p.cost / requests, quality: float64(p.good) / requests}
+}
+
+// answers are what both models would answer to a request.
+type answers struct{ cheapGood, largeGood, rated bool }
+
+// advance lets time pass and late ratings arrive.
+func (p *play) advance(share float64) {
+	p.now = p.now.Add(betweenCalls)
+	p.down = share >= outageFrom && share < outageTo
+	for len(p.pending) > 0 && !p.pending[0].at.After(p.now) {
+		p.learner.Rated(p.now, p.pending[0].bucket, p.pending[0].sufficed)
+		p.pending = p.pending[1:]
+	}
+}
+
+func (p *play) request(c Choice, b Bucket, a answers) {
+	switch c {
+	case Cheap:
+		p.cost += p.cheap
+		p.good += one(a.cheapGood)
+		if a.rated && !p.down {
+			p.pending = append(p.pending, late{p.now.Add(lateRating), b, a.cheapGood})
 		}
+	case CheapFirst:
+		p.cheapFirst(b, a)
+	case Large:
+		p.cost += p.large
+		p.good += one(a.largeGood)
+	}
+}
+
+func (p *play) cheapFirst(b Bucket, a answers) {
+	p.cost += p.cheap
+	if p.down {
+		p.learner.Unrated(p.now)
+	} else {
+		p.learner.Rated(p.now, b, a.cheapGood)
+	}
+	if p.down || !a.cheapGood {
+		p.cost += p.large
+		p.good += one(a.largeGood)
+		return
 	}
-	return result{cost: cost / requests, quality: float64(good) / requests}
+	p.good++
 }
 
 func one(b bool) int {
@@ -104,7 +130,7 @@
 	return 0
 }
 
-func fixed(c Choice) func(time.Time, *Learner, Bucket, *rand.Rand) Choice {
+func fixed(c Choice) policy {
 	return func(time.Time, *Learner, Bucket, *rand.Rand) Choice { return c }
 }
 
--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -77,28 +77,33 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer func() { e.end(r.Context().Err() != nil) }()
 	run := &run{engine: e, request: request, attempt: attempt, id: "chatcmpl-" + attempt, prompt: prompt(request), faults: faults, after: after, life: e.life()}
 	run.text = e.text(request.Model, run.prompt)
-	if faults.ForeignID {
-		run.id = "chatcmpl-of-another-attempt"
+	run.serve(w, r)
+}
+
+// serve answers the request, or fails as the switches say.
+func (r *run) serve(w http.ResponseWriter, request *http.Request) {
+	if r.faults.ForeignID {
+		r.id = "chatcmpl-of-another-attempt"
 	}
-	defer func() { e.end(r.Context().Err() != nil) }()
-	if faults.CrashOn != "" && strings.Contains(run.prompt, faults.CrashOn) {
-		e.crash()
+	if r.faults.CrashOn != "" && strings.Contains(r.prompt, r.faults.CrashOn) {
+		r.engine.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if faults.FailModel != "" && faults.FailModel == request.Model {
+	if r.faults.FailModel != "" && r.faults.FailModel == r.request.Model {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if !run.wait(r, e.FirstToken) {
+	if !r.wait(request, r.engine.FirstToken) {
 		return
 	}
-	if request.Stream {
-		run.stream(w, r)
+	if r.request.Stream {
+		r.stream(w, request)
 		return
 	}
-	run.whole(w, r)
+	r.whole(w, request)
 }
 
 func prompt(request completionRequest) string {
--- a/node/control.go
+++ b/node/control.go
@@ -92,7 +92,7 @@
 	for _, a := range c.detector.Tick(now) {
 		go c.node.probe(c.ctx, a, c.exchange(a.ID))
 	}
-	c.noteMembers(now)
+	c.noteMembers()
 	c.noteLevels()
 	c.askForSlots(now)
 	c.syncWithOne(now)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -123,7 +123,7 @@
 
 // noteMembers spreads the statuses that have changed, and lets what depends on
 // the members follow.
-func (c *control) noteMembers(now time.Time) {
+func (c *control) noteMembers() {
 	changes := c.detector.Changes()
 	if len(changes) == 0 {
 		return
