--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -46,6 +46,7 @@
 	far   []*upstream // of the others, in service
 	other []*upstream // in service, but without a share of this instance
 	queue queue
+	usage usage
 	hold  time.Duration // moving average of the time that a slot is held
 }
 
@@ -218,11 +219,9 @@
 		return false, err
 	}
 	p := d.pools[t.Pool]
-	if !p.queue.ahead(t.Priority) {
-		if u := d.pick(now, p, t); u != nil {
-			u.take(now, t)
-			return true, nil
-		}
+	p.usage.note(now, t.Organisation)
+	if p.atOnce(t) && d.grant(now, p, t) {
+		return true, nil
 	}
 	if err := p.down(now, t); err != nil {
 		return false, err
@@ -234,6 +233,29 @@
 	return false, nil
 }
 
+// atOnce reports whether a ticket may be granted before those that wait.
+func (p *pool) atOnce(t *Ticket) bool {
+	if !p.queue.ahead(t.Priority) {
+		return true
+	}
+	return t.Priority != rules.Batch && p.usage.below(t.Organisation) && p.queue.waitingOf(t.Organisation) == 0
+}
+
+// grant gives the ticket a slot, if there is one for its organisation.
+func (d *Dispatcher) grant(now time.Time, p *pool, t *Ticket) bool {
+	if p.usage.leavesFree(t.Organisation) {
+		return false
+	}
+	u := d.pick(now, p, t)
+	if u == nil {
+		return false
+	}
+	u.take(now, t)
+	p.usage.take(t.Organisation)
+	t.pool = p
+	return true
+}
+
 // down refuses a ticket when every upstream is unreachable.
 func (p *pool) down(now time.Time, t *Ticket) error {
 	var up time.Time
@@ -252,13 +274,15 @@
 		"no upstream of %q can be reached", poolName(t.Pool)).After(max(up.Sub(now), time.Second))
 }
 
-// full refuses a ticket that would wait too long.
+// full refuses a ticket that would wait too long. Each organisation has its own
+// part of the queue, so that one which floods it leaves room for the others.
 func (p *pool) full(now time.Time, t *Ticket) error {
 	slots := p.slots()
-	limit := max(minWaiting, waitingPerSlot*slots)
-	fair := limit / p.queue.organisations(t.Organisation)
-	wait := p.wait(slots)
-	if p.queue.size >= limit || p.queue.waitingOf(t.Organisation) >= max(fair, 1) {
+	organisations := p.queue.organisations(t.Organisation)
+	own := p.queue.waitingOf(t.Organisation)
+	wait := time.Duration(int64(p.hold) * int64(own*organisations) / int64(max(slots, 1)))
+	part := max(minWaiting, waitingPerSlot*slots) / organisations
+	if own >= max(part, 1) {
 		return overloaded(t, wait)
 	}
 	if !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
@@ -284,11 +308,6 @@
 	return n
 }
 
-// wait estimates how long a new ticket waits.
-func (p *pool) wait(slots int) time.Duration {
-	return time.Duration(int64(p.hold) * int64(p.queue.size) / int64(max(slots, 1)))
-}
-
 // pick returns an upstream with room: the less loaded of two random ones of
 // this failure domain, else of the others.
 func (d *Dispatcher) pick(now time.Time, p *pool, t *Ticket) *upstream {
@@ -374,10 +393,8 @@
 	u.observe(now, t.epoch, o, firstToken)
 	t.upstream = nil
 	t.rule = nil
-	p := d.pools[t.Pool]
-	if p == nil {
-		return
-	}
+	p := t.pool
+	p.usage.give(t.Organisation)
 	held := now.Sub(t.granted)
 	p.hold += time.Duration(holdWeight * float64(held-p.hold))
 	d.serveUpstream(now, u)
@@ -398,6 +415,7 @@
 // Tick serves queues whose upstreams have become usable with time.
 func (d *Dispatcher) Tick(now time.Time) {
 	for _, p := range d.pools {
+		p.usage.tick(now, p.slots())
 		if p.queue.size > 0 {
 			d.serve(now, p)
 		}
@@ -406,11 +424,9 @@
 
 func (d *Dispatcher) serve(now time.Time, p *pool) {
 	p.queue.serve(func(t *Ticket) bool {
-		u := d.pick(now, p, t)
-		if u == nil {
+		if !d.grant(now, p, t) {
 			return false
 		}
-		u.take(now, t)
 		t.OnGrant(t)
 		return true
 	})
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -35,6 +35,7 @@
 
 	upstream *upstream       // set while granted
 	rule     *rules.Upstream // of upstream, as it was at the grant
+	pool     *pool           // that counts it while granted
 	held     int             // tokens that it holds at upstream
 	epoch    uint32          // ramp epoch at the grant
 	waiting  bool
--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -96,6 +96,11 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	leave, ok := r.engine.enter(request.Context().Done())
+	if !ok {
+		return
+	}
+	defer leave()
 	if !r.wait(request, r.engine.FirstToken) {
 		return
 	}
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -31,9 +31,14 @@
 	Pieces     int           // pieces of an answer; 0 means 8
 	FirstToken time.Duration // before the first piece
 	Gap        time.Duration // between pieces
+	// Slots is the number of requests that are computed at once; more wait. 0
+	// means no limit. Set it before the first request.
+	Slots int
 	// Text returns the answer to a prompt; nil repeats the prompt.
 	Text func(model, prompt string) string
 
+	slotsOnce sync.Once
+	slots     chan struct{} // made by slotsOnce
 	mu        sync.Mutex
 	crashed   chan struct{}  // guarded by mu; closed when the process crashes
 	faults    Faults         // guarded by mu
@@ -64,6 +69,20 @@
 	e.overload = 0
 }
 
+// enter waits for a slot. The returned function gives it back.
+func (e *Engine) enter(done <-chan struct{}) (leave func(), ok bool) {
+	if e.Slots == 0 {
+		return func() {}, true
+	}
+	e.slotsOnce.Do(func() { e.slots = make(chan struct{}, e.Slots) })
+	select {
+	case e.slots <- struct{}{}:
+		return func() { <-e.slots }, true
+	case <-done:
+		return nil, false
+	}
+}
+
 // life returns a channel that is closed when the engine's process crashes.
 func (e *Engine) life() <-chan struct{} {
 	e.mu.Lock()
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -81,6 +81,7 @@
 // afterwards.
 func scenario(t *testing.T, f func(d *deployment)) {
 	t.Helper()
+	t.Parallel() // each bubble has a clock of its own
 	synctest.Test(t, func(t *testing.T) {
 		d := &deployment{
 			t: t, is: is.New(t), network: &network.Network{}, platform: &platformfake.Platform{},
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -135,11 +136,13 @@
 
 func TestForeignAnswerNeverReachesTheCaller(t *testing.T) {
 	for _, stream := range []bool{false, true} {
-		scenario(t, func(d *deployment) {
-			d.setFaults("small", enginefake.Faults{ForeignID: true})
-			r := d.send(request{body: completionBody("small", "secret", stream)})
-			d.is.True(!strings.Contains(r.body, "secret"))
-			d.is.Equal(r.problem.Run, "may-have-run")
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			scenario(t, func(d *deployment) {
+				d.setFaults("small", enginefake.Faults{ForeignID: true})
+				r := d.send(request{body: completionBody("small", "secret", stream)})
+				d.is.True(!strings.Contains(r.body, "secret"))
+				d.is.Equal(r.problem.Run, "may-have-run")
+			})
 		})
 	}
 }
