--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -82,6 +82,13 @@
 func scenario(t *testing.T, f func(d *deployment)) {
 	t.Helper()
 	t.Parallel() // each bubble has a clock of its own
+	scenarioAlone(t, f)
+}
+
+// scenarioAlone is a scenario beside which no other test runs, so that it can
+// measure processor time.
+func scenarioAlone(t *testing.T, f func(d *deployment)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		d := &deployment{
 			t: t, is: is.New(t), network: &network.Network{}, platform: &platformfake.Platform{},
