--- a/fake/engine/completion.go
+++ b/fake/engine/completion.go
@@ -67,6 +67,9 @@
 		return
 	}
 	attempt := r.Header.Get("X-Request-Id")
+	if ms, err := strconv.Atoi(r.Header.Get("Banyanyard-Timeout-Ms")); err == nil {
+		e.told(ms)
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 	faults, known := e.begin(attempt, request.Model, after > 0)
 	if !known {
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -49,6 +49,8 @@
 	models    map[string]int // guarded by mu; runs by model
 	cancelled int            // guarded by mu
 	resumed   int            // guarded by mu
+	refused   int            // guarded by mu; by RefuseAll
+	timeoutMs int            // guarded by mu
 	bears     int            // guarded by mu; requests that a cold engine bears; 0 when warm
 	overload  int            // guarded by mu; requests refused beyond bears
 }
@@ -83,6 +85,13 @@
 	}
 }
 
+// told records the time that a request leaves.
+func (e *Engine) told(ms int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.timeoutMs = ms
+}
+
 // life returns a channel that is closed when the engine's process crashes.
 func (e *Engine) life() <-chan struct{} {
 	e.mu.Lock()
@@ -117,6 +126,8 @@
 	RanTwice  int // attempts that were run more than once
 	Cancelled int
 	Resumed   int
+	Refused   int // because of RefuseAll
+	TimeoutMs int // of the newest request that named one
 	// Overloaded counts the requests beyond what the engine bore while cold.
 	Overloaded int
 	ByModel    map[string]int
@@ -126,7 +137,7 @@
 func (e *Engine) Record() Record {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, Overloaded: e.overload, ByModel: map[string]int{}}
+	r := Record{Running: e.running, MostHeld: e.mostHeld, Cancelled: e.cancelled, Resumed: e.resumed, Refused: e.refused, TimeoutMs: e.timeoutMs, Overloaded: e.overload, ByModel: map[string]int{}}
 	for _, runs := range [...]map[string]int{e.ran, e.lost} {
 		for _, n := range runs {
 			r.Ran += n
@@ -154,6 +165,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.RefuseAll {
+		e.refused++
 		return e.faults, true
 	}
 	if e.bears > 0 && e.running >= e.bears {
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -170,6 +171,9 @@
 		"X-Request-Id": {a.ID},
 		"User-Agent":   {"banyanyard"},
 	}
+	if a.Timeout > 0 {
+		header[HeaderTimeout] = []string{strconv.FormatInt(a.Timeout.Milliseconds(), 10)}
+	}
 	if a.After != "" {
 		header.Set("Last-Event-ID", a.After)
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -38,8 +38,14 @@
 	// time between pieces. Zero means no bound.
 	FirstByte time.Duration
 	Gap       time.Duration
+	// Timeout is what is left of the caller's deadline, which the engine is
+	// told. Zero means none.
+	Timeout time.Duration
 }
 
+// HeaderTimeout tells an upstream how many milliseconds are left.
+const HeaderTimeout = "Banyanyard-Timeout-Ms"
+
 // A Usage counts the tokens of an answer.
 type Usage struct {
 	PromptTokens     int `json:"prompt_tokens"`
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"banyanyard/core/charge"
+	"banyanyard/fake/network"
+
+	"github.com/matryer/is"
+)
+
+// An echo answers holds and nothing else.
+type echo struct {
+	Handler
+	held chan Hold
+}
+
+func (e echo) Hold(_ context.Context, h Hold) (Done, error) {
+	e.held <- h
+	return Done{}, nil
+}
+
+func serveEcho(t *testing.T, n *network.Network) echo {
+	l, err := n.Listen("10.0.0.1:8081", "d0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := echo{held: make(chan Hold, 10)}
+	s := NewServer(e, &Traffic{})
+	go func() { _ = s.Serve(context.Background(), l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+	})
+	return e
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	var n network.Network
+	e := serveEcho(t, &n)
+	c := NewClient(n.From("d0").DialContext, nil, &Traffic{})
+	defer c.Close()
+	hold := Hold{Owner: "a", Charges: []charge.Numbered{{Sequence: 1, Charge: charge.Charge{Request: "r1"}}}}
+	is.NoErr(c.Hold(t.Context(), "10.0.0.1:8081", hold))
+	is.Equal((<-e.held).Charges[0].Charge.Request, "r1")
+	n.Silence("10.0.0.1:8081")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(c.Hold(ctx, "10.0.0.1:8081", hold), context.DeadlineExceeded))
+	is.NoErr(c.Hold(t.Context(), "10.0.0.1:8081", hold)) // on a new connection
+}
+
+func TestSplitTellsProtocolsApart(t *testing.T) {
+	is := is.New(t)
+	var n network.Network
+	l, err := n.Listen("10.0.0.1:8081", "d0")
+	is.NoErr(err)
+	rpc, http := Split(t.Context(), l)
+	for _, tt := range []struct {
+		first string
+		to    net.Listener
+	}{{first: "Content-Length: 2", to: rpc}, {first: "POST / HTTP/1.1", to: http}} {
+		c, err := n.From("d0").DialContext(t.Context(), "tcp", "10.0.0.1:8081")
+		is.NoErr(err)
+		_, err = c.Write([]byte(tt.first))
+		is.NoErr(err)
+		accepted, err := tt.to.Accept()
+		is.NoErr(err)
+		got := make([]byte, len(tt.first))
+		_, err = accepted.Read(got)
+		is.NoErr(err)
+		is.Equal(string(got), tt.first)
+		_ = accepted.Close()
+	}
+	_ = l.Close()
+	_, err = rpc.Accept()
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
+// FuzzMessages checks that a decoded message encodes to the same.
+func FuzzMessages(f *testing.F) {
+	f.Add("exchange", []byte(`{"from":{"id":"a","state":1},"entries":[{"key":"head","version":3,"data":{"number":3}}]}`))
+	f.Add("hold", []byte(`{"owner":"a","charges":[{"sequence":1,"charge":{"request":"r"}}]}`))
+	f.Add("ask", []byte(`{"epoch":4,"requests":2}`))
+	f.Add("sync", []byte(`{"sum":1,"digest":{"a":2}}`))
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		var message any
+		switch kind {
+		case "exchange":
+			message = &Exchange{}
+		case "hold":
+			message = &Hold{}
+		case "ask":
+			message = &Ask{}
+		default:
+			message = &Sync{}
+		}
+		if json.Unmarshal(data, message) != nil {
+			return
+		}
+		once, err := json.Marshal(message)
+		if err != nil {
+			return // a time that JSON can't hold
+		}
+		if err := json.Unmarshal(once, message); err != nil {
+			t.Fatalf("%s can't be read back: %v", once, err)
+		}
+		twice, err := json.Marshal(message)
+		if err != nil || string(once) != string(twice) {
+			t.Fatalf("%s became %s (%v)", once, twice, err)
+		}
+	})
+}
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"banyanyard/core/once"
@@ -30,6 +31,7 @@
 	maxAnswerBytes  = 8 << 20
 	keyHeader       = "idempotency-key" // see newRequest
 	requestIDHeader = "X-Request-Id"
+	timeoutHeader   = "Banyanyard-Timeout-Ms" // what is left of the caller's deadline
 )
 
 // keptHeaders are the headers of an answer that callers get.
@@ -132,6 +134,9 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(requestIDHeader, call.Attempt)
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(timeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 	if call.IdempotencyKey != "" {
 		// The transport repeats any request that has this header in its
 		// canonical form after a connection broke. Header names are compared
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -84,9 +84,10 @@
 		}
 		r.attempts++
 		avoid = a.ticket.Upstream().ID
+		r.node.retries.sent(avoid)
 		err := f(ctx, a)
 		a.release(ctx, err)
-		if err == nil || r.begun || !r.retry(ctx, err) {
+		if err == nil || r.begun || !r.retry(ctx, err, avoid) {
 			return err
 		}
 	}
@@ -111,11 +112,11 @@
 }
 
 // retry decides whether another attempt follows the error, and waits before it.
-func (r *completion) retry(ctx context.Context, err error) bool {
+func (r *completion) retry(ctx context.Context, err error, failed string) bool {
 	if !retryable(err) {
 		return false
 	}
-	if !r.node.retries.allow(r.request.Organisation.ID) {
+	if !r.node.retries.allow(r.request.Organisation.ID, failed) {
 		return false
 	}
 	r.node.metrics.retries.WithLabelValues(r.request.Organisation.ID).Inc()
@@ -141,6 +142,9 @@
 		ID: rand.Text(), Upstream: u.ID, Address: u.Address, Target: a.target, Body: body, Stream: stream,
 		Gap: time.Duration(timeouts.Gap),
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		a.start.Timeout = time.Until(deadline)
+	}
 	if stream {
 		a.start.FirstByte = time.Duration(timeouts.FirstByte)
 	}
--- a/node/call.go
+++ b/node/call.go
@@ -76,9 +76,10 @@
 		}
 		c.attempts++
 		avoid = ticket.Upstream().ID
+		c.node.retries.sent(avoid)
 		answer, err := c.send(ctx, ticket)
 		c.node.slots.release(ticket, serviceOutcome(ctx, err), time.Since(ticket.Granted()))
-		if err == nil || !c.retry(ctx, err) {
+		if err == nil || !c.retry(ctx, err, avoid) {
 			c.upstream = avoid
 			return answer, err
 		}
@@ -118,12 +119,12 @@
 
 // retry decides whether another upstream is tried: after a broken answer only
 // when the call is idempotent.
-func (c *serviceCall) retry(ctx context.Context, err error) bool {
+func (c *serviceCall) retry(ctx context.Context, err error, failed string) bool {
 	var notRun *service.NotRunError
 	if !errors.As(err, &notRun) && !c.rule.Idempotent || ctx.Err() != nil {
 		return false
 	}
-	if !c.node.retries.allow(c.request.Organisation.ID) {
+	if !c.node.retries.allow(c.request.Organisation.ID, failed) {
 		return false
 	}
 	c.node.metrics.retries.WithLabelValues(c.request.Organisation.ID).Inc()
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -284,3 +284,32 @@
 		return platformfake.None
 	}
 }
+
+// TestTotalOutageAddsATenthToTheLoad lets every engine refuse everything.
+func TestTotalOutageAddsATenthToTheLoad(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.setFaults("small", enginefake.Faults{RefuseAll: true})
+		const requests = 1000
+		for i := range requests {
+			r := d.send(request{node: i % 3})
+			d.is.Equal(r.problem.Run, "not-run")
+			time.Sleep(50 * time.Millisecond)
+		}
+		refused := 0
+		for _, e := range d.engines {
+			refused += e.Record().Refused
+		}
+		d.is.True(refused <= requests*11/10)
+	})
+}
+
+func TestDeadlineIsPassedOnShortened(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.send(request{header: map[string]string{caller.HeaderTimeout: "4000"}})
+		longest := 0
+		for _, e := range d.engines {
+			longest = max(longest, e.Record().TimeoutMs)
+		}
+		d.is.True(longest > 3000 && longest <= 4000)
+	})
+}
--- a/node/retries.go
+++ b/node/retries.go
@@ -14,27 +14,40 @@
 
 // retries guards the retry budgets.
 type retries struct {
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget // guarded by mu; by organisation
-	random  *rand.Rand               // guarded by mu
+	mu            sync.Mutex
+	organisations map[string]*retry.Budget // guarded by mu
+	upstreams     map[string]*retry.Budget // guarded by mu
+	random        *rand.Rand               // guarded by mu
 }
 
 func newRetries() *retries {
-	return &retries{budgets: map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &retries{
+		organisations: map[string]*retry.Budget{},
+		upstreams:     map[string]*retry.Budget{},
+		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
-// request earns the share of one request.
+// request earns the share of one request of an organisation.
 func (r *retries) request(organisation string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(organisation).Request()
+	budget(r.organisations, organisation).Request()
+}
+
+// sent earns the share of one request that is sent to an upstream.
+func (r *retries) sent(upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget(r.upstreams, upstream).Request()
 }
 
-// allow takes one retry from the organisation's budget.
-func (r *retries) allow(organisation string) bool {
+// allow takes one retry from the budgets of the organisation and of the
+// upstream that failed, so that neither adds more than its share to the load.
+func (r *retries) allow(organisation, upstream string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return retry.Spend(r.budget(organisation))
+	return retry.Spend(budget(r.organisations, organisation), budget(r.upstreams, upstream))
 }
 
 func (r *retries) delay(attempt int) time.Duration {
@@ -43,15 +56,15 @@
 	return retry.Delay(r.random, attempt)
 }
 
-// budget returns the budget of an organisation. Its caller holds mu.
-func (r *retries) budget(organisation string) *retry.Budget {
-	b := r.budgets[organisation]
+// budget returns a budget, and makes it where there is none.
+func budget(budgets map[string]*retry.Budget, name string) *retry.Budget {
+	b := budgets[name]
 	if b == nil {
 		b = &retry.Budget{}
 		for range initialRequests {
 			b.Request()
 		}
-		r.budgets[organisation] = b
+		budgets[name] = b
 	}
 	return b
 }
