--- a/node/charges.go
+++ b/node/charges.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// chargeInterval is the longest time that a charge waits for its write
-	// while the table can be reached.
+	// chargeInterval is the longest time that a charge waits for its write in a
+	// small deployment while the table can be reached.
 	chargeInterval = 2 * time.Second
+	// chargeWrites bounds the writes a second of all instances together: a tenth
+	// of what the table bears.
+	chargeWrites = 30
 	// chargeTimeout bounds one write of charges.
 	chargeTimeout = 5 * time.Second
 	// copies is the number of other instances that hold a charge before the
@@ -138,11 +141,20 @@
 // run writes charges until the context ends.
 func (c *charges) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, chargeInterval)
+		pause(ctx, jittered(c.interval()))
 		c.flush(ctx)
 	}
 }
 
+// interval grows with the deployment, so that the writes stay bounded.
+func (c *charges) interval() time.Duration {
+	instances := 1
+	if m := c.node.members.Load(); m != nil {
+		instances += len(m.live)
+	}
+	return max(chargeInterval, time.Duration(instances)*time.Second/chargeWrites)
+}
+
 // flush writes batches until none is left or a write fails. It reports whether
 // everything was written.
 func (c *charges) flush(ctx context.Context) bool {
