node: read the epoch when gossip tells of a newer one; pace the writing of a backlog

Cause: every instance read the epoch's row (35 KB at 390 members) with each poll; after an outage all instances would have written their backlogs at once. Change: the row is read when gossip tells of a newer epoch, without a share, or every 30 s; full batches of charges keep a distance that bounds all instances together to 200 writes a second.

--- a/node/charges.go
+++ b/node/charges.go
@@ -17,6 +17,8 @@
 	// chargeInterval is the longest time that a charge waits for its write in a
 	// small deployment while the table can be reached.
 	chargeInterval = 2 * time.Second
+	// recoveryWrites bounds them while a backlog is written.
+	recoveryWrites = 200
 	// chargeWrites bounds the writes a second of all instances together: a tenth
 	// of what the table bears.
 	chargeWrites = 30
@@ -142,22 +144,27 @@
 func (c *charges) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, jittered(c.interval()))
-		c.flush(ctx)
+		c.flush(ctx, c.every(recoveryWrites))
 	}
 }
 
-// interval grows with the deployment, so that the writes stay bounded.
-func (c *charges) interval() time.Duration {
+// interval is the time between writes. It grows with the deployment, so that
+// the writes stay bounded.
+func (c *charges) interval() time.Duration { return max(chargeInterval, c.every(chargeWrites)) }
+
+// every returns the time between writes of this instance when all instances
+// together make so many a second.
+func (c *charges) every(writes int) time.Duration {
 	instances := 1
 	if m := c.node.members.Load(); m != nil {
 		instances += len(m.live)
 	}
-	return max(chargeInterval, time.Duration(instances)*time.Second/chargeWrites)
+	return time.Duration(instances) * time.Second / time.Duration(writes)
 }
 
-// flush writes batches until none is left or a write fails. It reports whether
-// everything was written.
-func (c *charges) flush(ctx context.Context) bool {
+// flush writes batches, with a pause between them, until none is left or a write
+// fails. It reports whether everything was written.
+func (c *charges) flush(ctx context.Context, between time.Duration) bool {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	var upTo uint64
@@ -172,6 +179,9 @@
 			return false
 		}
 		upTo = c.written()
+		if len(batch) == charge.MaxBatch {
+			pause(ctx, jittered(between))
+		}
 	}
 }
 
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -20,6 +20,12 @@
 	// pollJitter is the share of the poll interval that varies at random, so
 	// that instances don't ask at the same moment.
 	pollJitter = 0.2
+	// epochInterval is the time between looks at the epoch when gossip tells of
+	// no newer one. Its row is large in a large deployment.
+	epochInterval = 30 * time.Second
+	// pollSpread is the time over which instances spread a look that they all
+	// have a reason for.
+	pollSpread = 300 * time.Millisecond
 	// membersPerInterval is the number of members from which on the poll
 	// interval grows, so that the platform's reads stay bounded.
 	membersPerInterval = 40
@@ -132,9 +138,22 @@
 
 // poll looks at the platform until the context ends.
 func (n *Node) poll(ctx context.Context) {
+	var epochRead time.Time
 	for ctx.Err() == nil {
-		n.pollOnce(ctx)
-		pause(ctx, n.pollInterval())
+		newer := n.epochNewer.Swap(false)
+		due := newer || !n.sharing.Load() || time.Since(epochRead) >= epochInterval
+		if n.pollOnce(ctx, due) && due {
+			epochRead = time.Now()
+		}
+		timer := time.NewTimer(n.pollInterval())
+		select {
+		case <-timer.C:
+		case <-n.pollNow:
+			timer.Stop()
+			pause(ctx, rand.N(pollSpread))
+		case <-ctx.Done():
+			timer.Stop()
+		}
 	}
 }
 
@@ -147,7 +166,9 @@
 	return time.Duration(interval * (1 - pollJitter*rand.Float64()))
 }
 
-func (n *Node) pollOnce(ctx context.Context) {
+// pollOnce reads the list and the head, and the epoch where it is due. It
+// reports whether all could be read.
+func (n *Node) pollOnce(ctx context.Context, withEpoch bool) bool {
 	callCtx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Platform.Timeout))
 	defer cancel()
 	instances, listErr := n.store.Instances(callCtx)
@@ -158,15 +179,25 @@
 	if headErr == nil {
 		n.send(ctx, headRead{head})
 	}
-	epoch, version, epochErr := n.readEpoch(callCtx)
-	if epochErr == nil {
-		n.send(ctx, epochRead{epoch: epoch, version: version})
+	var epochErr error
+	if withEpoch {
+		epochErr = n.pollEpoch(ctx, callCtx)
 	}
 	n.pollRollouts(ctx, callCtx)
-	if err := errors.Join(listErr, headErr, epochErr); err != nil && ctx.Err() == nil {
+	err := errors.Join(listErr, headErr, epochErr)
+	if err != nil && ctx.Err() == nil {
 		n.metrics.platformErrors.Inc()
 		n.log.WithError(err).Warn("the platform could not be read; the rules in force stay")
 	}
+	return err == nil
+}
+
+func (n *Node) pollEpoch(ctx, callCtx context.Context) error {
+	epoch, version, err := n.readEpoch(callCtx)
+	if err == nil {
+		n.send(ctx, epochRead{epoch: epoch, version: version})
+	}
+	return err
 }
 
 // pollRollouts reads the states of the roll-outs, so that an instance that
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -113,6 +113,9 @@
 }
 
 func (c *control) learnActing(e gossip.Entry) {
+	if e.Version > c.shares.Epoch().Number {
+		c.node.wakePoll()
+	}
 	agreed := c.shares.Agreed()
 	c.shares.Acts(strings.TrimPrefix(e.Key, keyEpoch), e.Version)
 	c.showMembers()
@@ -121,6 +124,15 @@
 	}
 }
 
+// wakePoll has the epoch read soon.
+func (n *Node) wakePoll() {
+	n.epochNewer.Store(true)
+	select {
+	case n.pollNow <- struct{}{}:
+	default:
+	}
+}
+
 // noteMembers spreads the statuses that have changed, and lets what depends on
 // the members follow.
 func (c *control) noteMembers() {
--- a/node/node.go
+++ b/node/node.go
@@ -79,14 +79,17 @@
 	members  atomic.Pointer[members]
 	sharing  atomic.Bool // the instance has shares of its own
 	leaving  atomic.Bool
-	slots    *slots
-	charges  *charges
-	sessions *sessions
-	crashes  *crashes
-	rollouts *rollouts
-	learners *learners
-	retries  *retries
-	events   chan event // to the control goroutine
+	// epochNewer says that another instance acts on a newer epoch.
+	epochNewer atomic.Bool
+	pollNow    chan struct{} // wakes the poll, capacity 1
+	slots      *slots
+	charges    *charges
+	sessions   *sessions
+	crashes    *crashes
+	rollouts   *rollouts
+	learners   *learners
+	retries    *retries
+	events     chan event // to the control goroutine
 	// background counts what outlives its request and ends before the
 	// instance does.
 	background sync.WaitGroup
@@ -114,6 +117,7 @@
 		metrics:    newMetrics(),
 		retries:    newRetries(),
 		events:     make(chan event, eventBacklog),
+		pollNow:    make(chan struct{}, 1),
 		aborted:    make(chan struct{}),
 		verbose:    c.Settings.Log.Level == log.DebugLevel.String(),
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -189,7 +189,7 @@
 func (n *Node) flushAll() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	for !n.charges.flush(ctx) && ctx.Err() == nil {
+	for !n.charges.flush(ctx, 0) && ctx.Err() == nil {
 		pause(ctx, time.Second)
 	}
 }
