--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -93,6 +93,21 @@
 	return d
 }
 
+// newFull returns a dispatcher whose one upstream is full, and what holds it.
+func newFull(t testing.TB) (*Dispatcher, []*Ticket) {
+	t.Helper()
+	d := newWarm(t, 1)
+	var running []*Ticket
+	for range 4 {
+		k := ticket("o1")
+		if granted, err := d.Offer(start, k); err != nil || !granted {
+			t.Fatalf("not granted: %v", err)
+		}
+		running = append(running, k)
+	}
+	return d, running
+}
+
 func TestColdUpstreamGetsItsColdLimitOnly(t *testing.T) {
 	is := is.New(t)
 	d := New("d0", 1)
@@ -111,15 +126,7 @@
 
 func TestUnannouncedColdStartHoldsBack(t *testing.T) {
 	is := is.New(t)
-	d := newWarm(t, 1)
-	var running []*Ticket
-	for range 4 {
-		k := ticket("o1")
-		granted, err := d.Offer(start, k)
-		is.NoErr(err)
-		is.True(granted)
-		running = append(running, k)
-	}
+	d, running := newFull(t)
 	d.Release(start, running[0], Refused, 0)
 	after := start.Add(time.Minute)
 	granted, err := d.Offer(after, ticket("o1"))
@@ -134,14 +141,7 @@
 
 func TestFloodOfOneOrganisationLeavesOthersTheirShare(t *testing.T) {
 	is := is.New(t)
-	d := newWarm(t, 1)
-	var running []*Ticket
-	for range 4 {
-		k := ticket("o1")
-		_, err := d.Offer(start, k)
-		is.NoErr(err)
-		running = append(running, k)
-	}
+	d, running := newFull(t)
 	for range 20 {
 		if _, err := d.Offer(start, ticket("o1")); err != nil {
 			break
@@ -157,14 +157,7 @@
 
 func TestInteractiveGoesBeforeBatch(t *testing.T) {
 	is := is.New(t)
-	d := newWarm(t, 1)
-	var running []*Ticket
-	for range 4 {
-		k := ticket("o1")
-		_, err := d.Offer(start, k)
-		is.NoErr(err)
-		running = append(running, k)
-	}
+	d, running := newFull(t)
 	batch, interactive := ticket("o1"), ticket("o1")
 	batch.Priority = rules.Batch
 	_, err := d.Offer(start, batch)
@@ -194,11 +187,7 @@
 
 func TestWaitingTicketIsRefusedWhenItsVersionIsWithdrawn(t *testing.T) {
 	is := is.New(t)
-	d := newWarm(t, 1)
-	for range 4 {
-		_, err := d.Offer(start, ticket("o1"))
-		is.NoErr(err)
-	}
+	d, _ := newFull(t)
 	waiting := ticket("o1")
 	var refused error
 	waiting.OnRefuse = func(_ *Ticket, err error) { refused = err }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"banyanyard/core/ramp"
 	"banyanyard/core/refusal"
 	"banyanyard/core/route"
 	"banyanyard/core/rules"
@@ -40,16 +39,6 @@
 	random    *rand.Rand
 }
 
-// A pool is the upstreams and the queue for one Pool.
-type pool struct {
-	near  []*upstream // of this instance's failure domain, in service
-	far   []*upstream // of the others, in service
-	other []*upstream // in service, but without a share of this instance
-	queue queue
-	usage usage
-	hold  time.Duration // moving average of the time that a slot is held
-}
-
 // New returns a Dispatcher without rules. Its choices among equal upstreams
 // depend on the seed alone.
 func New(domain string, seed uint64) *Dispatcher {
@@ -141,31 +130,6 @@
 	}
 }
 
-func (p *pool) add(u *upstream, near bool) {
-	switch {
-	case u.share.Requests == 0:
-		p.other = append(p.other, u)
-	case near:
-		p.near = append(p.near, u)
-	default:
-		p.far = append(p.far, u)
-	}
-}
-
-// upstreams returns the number of upstreams in service.
-func (p *pool) upstreams() int { return len(p.near) + len(p.far) + len(p.other) }
-
-func poolsOf(u *rules.Upstream) []Pool {
-	if u.Service != "" {
-		return []Pool{{Service: u.Service}}
-	}
-	pools := make([]Pool, 0, len(u.Serves))
-	for _, s := range u.Serves {
-		pools = append(pools, Pool{Target: rules.ParseTarget(s)})
-	}
-	return pools
-}
-
 func (d *Dispatcher) pool(key Pool) *pool {
 	p := d.pools[key]
 	if p == nil {
@@ -205,13 +169,6 @@
 	return nil
 }
 
-func poolName(p Pool) string {
-	if p.Service != "" {
-		return p.Service
-	}
-	return p.Target.String()
-}
-
 // Offer grants the ticket a slot and returns true, or queues it and returns
 // false. An error refuses it.
 func (d *Dispatcher) Offer(now time.Time, t *Ticket) (bool, error) {
@@ -233,14 +190,6 @@
 	return false, nil
 }
 
-// atOnce reports whether a ticket may be granted before those that wait.
-func (p *pool) atOnce(t *Ticket) bool {
-	if !p.queue.ahead(t.Priority) {
-		return true
-	}
-	return t.Priority != rules.Batch && p.usage.below(t.Organisation) && p.queue.waitingOf(t.Organisation) == 0
-}
-
 // grant gives the ticket a slot, if there is one for its organisation.
 func (d *Dispatcher) grant(now time.Time, p *pool, t *Ticket) bool {
 	if p.usage.leavesFree(t.Organisation) {
@@ -256,58 +205,6 @@
 	return true
 }
 
-// down refuses a ticket when every upstream is unreachable.
-func (p *pool) down(now time.Time, t *Ticket) error {
-	var up time.Time
-	for _, us := range [...][]*upstream{p.near, p.far, p.other} {
-		for _, u := range us {
-			if !now.Before(u.downUntil) {
-				return nil
-			}
-			if up.IsZero() || u.downUntil.Before(up) {
-				up = u.downUntil
-			}
-		}
-	}
-	return refusal.New(refusal.NoUpstream,
-		"send the request again after the time in Retry-After",
-		"no upstream of %q can be reached", poolName(t.Pool)).After(max(up.Sub(now), time.Second))
-}
-
-// full refuses a ticket that would wait too long. Each organisation has its own
-// part of the queue, so that one which floods it leaves room for the others.
-func (p *pool) full(now time.Time, t *Ticket) error {
-	slots := p.slots()
-	organisations := p.queue.organisations(t.Organisation)
-	own := p.queue.waitingOf(t.Organisation)
-	wait := time.Duration(int64(p.hold) * int64(own*organisations) / int64(max(slots, 1)))
-	part := max(minWaiting, waitingPerSlot*slots) / organisations
-	if own >= max(part, 1) {
-		return overloaded(t, wait)
-	}
-	if !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
-		return overloaded(t, wait)
-	}
-	return nil
-}
-
-func overloaded(t *Ticket, wait time.Duration) error {
-	return refusal.New(refusal.Overloaded,
-		"send the request again after the time in Retry-After",
-		"too many requests wait for %q", poolName(t.Pool)).After(max(wait, time.Second))
-}
-
-func (p *pool) slots() int {
-	n := 0
-	for _, u := range p.near {
-		n += u.limit()
-	}
-	for _, u := range p.far {
-		n += u.limit()
-	}
-	return n
-}
-
 // pick returns an upstream with room: the less loaded of two random ones of
 // this failure domain, else of the others.
 func (d *Dispatcher) pick(now time.Time, p *pool, t *Ticket) *upstream {
@@ -326,37 +223,6 @@
 	return p.named(now, t, t.Avoid)
 }
 
-// hasFirst reports whether this instance may run suspects apart from all others
-// at some upstream.
-func (p *pool) hasFirst(now time.Time) bool {
-	return p.find(func(u *upstream) bool { return u.first && !now.Before(u.downUntil) }) != nil
-}
-
-// apart returns an upstream where the ticket is the only suspect of all
-// instances.
-func (p *pool) apart(now time.Time, t *Ticket) *upstream {
-	return p.find(func(u *upstream) bool { return u.first && u.free(now, t) })
-}
-
-func (p *pool) find(ok func(*upstream) bool) *upstream {
-	for _, us := range [...][]*upstream{p.near, p.far} {
-		for _, u := range us {
-			if ok(u) {
-				return u
-			}
-		}
-	}
-	return nil
-}
-
-// named returns the upstream with the identifier when it can take the ticket.
-func (p *pool) named(now time.Time, t *Ticket, id string) *upstream {
-	if id == "" {
-		return nil
-	}
-	return p.find(func(u *upstream) bool { return u.rule.ID == id && u.free(now, t) })
-}
-
 func (d *Dispatcher) pickFrom(now time.Time, us []*upstream, t *Ticket) *upstream {
 	if len(us) == 0 {
 		return nil
@@ -372,17 +238,6 @@
 	return firstFree(now, us, t, d.random.IntN(len(us)))
 }
 
-// firstFree scans all upstreams from a random start.
-func firstFree(now time.Time, us []*upstream, t *Ticket, start int) *upstream {
-	for i := range us {
-		u := us[(start+i)%len(us)]
-		if u.rule.ID != t.Avoid && u.free(now, t) {
-			return u
-		}
-	}
-	return nil
-}
-
 // Release ends a granted ticket and grants its slot to waiting ones.
 func (d *Dispatcher) Release(now time.Time, t *Ticket, o Outcome, firstToken time.Duration) {
 	u := t.upstream
@@ -431,63 +286,3 @@
 		return true
 	})
 }
-
-// A View is this instance's view of one upstream.
-type View struct {
-	ID        string
-	InService bool
-	Reachable bool
-	Level     ramp.Level
-	Requests  int // held by this instance
-	Share     int // of this instance when the upstream is warm
-	Limit     int // of this instance now
-}
-
-// Views returns the view of every upstream, sorted by identifier.
-func (d *Dispatcher) Views(now time.Time) []View {
-	if d.set == nil {
-		return nil
-	}
-	views := make([]View, 0, len(d.upstreams))
-	for _, rule := range d.set.UpstreamsByID() {
-		u := d.upstreams[rule.ID]
-		views = append(views, View{
-			ID:        rule.ID,
-			InService: u.inService,
-			Reachable: !now.Before(u.downUntil),
-			Level:     u.ramp.Level(),
-			Requests:  u.requests,
-			Share:     u.share.Requests,
-			Limit:     u.limit(),
-		})
-	}
-	return views
-}
-
-// Levels returns the ramp level of every upstream.
-func (d *Dispatcher) Levels() map[string]ramp.Level {
-	levels := make(map[string]ramp.Level, len(d.upstreams))
-	for id, u := range d.upstreams {
-		levels[id] = u.ramp.Level()
-	}
-	return levels
-}
-
-// Merge takes another instance's level of an upstream into account.
-func (d *Dispatcher) Merge(now time.Time, id string, level ramp.Level) {
-	u := d.upstreams[id]
-	if u == nil {
-		return
-	}
-	u.ramp.Merge(level)
-	d.serveUpstream(now, u)
-}
-
-// serveUpstream grants waiting tickets what an upstream has room for.
-func (d *Dispatcher) serveUpstream(now time.Time, u *upstream) {
-	for _, key := range u.pools {
-		if p := d.pools[key]; p != nil && p.queue.size > 0 {
-			d.serve(now, p)
-		}
-	}
-}
