--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -48,6 +48,10 @@
 
 // A Store holds the newest entries. The zero Store is empty and ready to use.
 type Store struct {
+	// Urgent reports whether an entry goes before all others, so that much news
+	// of little weight doesn't delay it; nil means none does.
+	Urgent func(key string) bool
+
 	entries map[string]*held
 	active  []*held // entries that are still being sent
 	sum     uint64  // of the hashes of all keys and versions
@@ -57,6 +61,15 @@
 	Entry
 	sent   int
 	active bool
+	urgent bool
+}
+
+// rank is higher for what goes first.
+func (h *held) rank() int {
+	if h.urgent {
+		return 1
+	}
+	return 0
 }
 
 // Put takes an entry and reports whether it was newer than the one held.
@@ -69,7 +82,7 @@
 		return false
 	}
 	if h == nil {
-		h = &held{}
+		h = &held{urgent: s.Urgent != nil && s.Urgent(e.Key)}
 		s.entries[e.Key] = h
 	} else {
 		s.sum -= hash(&h.Entry)
@@ -111,7 +124,12 @@
 // Outgoing returns entries for a message of about maxBytes in a deployment of
 // the given number of instances, and counts them as sent.
 func (s *Store) Outgoing(instances, maxBytes int) []Entry {
-	slices.SortStableFunc(s.active, func(a, b *held) int { return cmp.Compare(a.sent, b.sent) })
+	slices.SortStableFunc(s.active, func(a, b *held) int {
+		if a.urgent != b.urgent {
+			return cmp.Compare(b.rank(), a.rank())
+		}
+		return cmp.Compare(a.sent, b.sent)
+	})
 	limit := repeats * bits.Len(uint(instances))
 	var out []Entry
 	for _, h := range s.active {
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -68,6 +68,18 @@
 	is.True(got["large"] && got["small"])
 }
 
+func TestUrgentEntriesGoFirst(t *testing.T) {
+	is := is.New(t)
+	s := Store{Urgent: func(key string) bool { return key == "head" }}
+	for i := range 1000 {
+		s.Put(Entry{Key: fmt.Sprintf("evidence/%d", i), Version: 1})
+	}
+	s.Put(Entry{Key: "head", Version: 1})
+	for range repeats * 2 {
+		is.Equal(s.Outgoing(3, 1200)[0].Key, "head")
+	}
+}
+
 func TestEntriesAreSentABoundedNumberOfTimes(t *testing.T) {
 	is := is.New(t)
 	var s Store
--- a/node/control.go
+++ b/node/control.go
@@ -57,6 +57,7 @@
 		asking:   map[string]bool{},
 		moving:   map[string]bool{},
 	}
+	c.gossip.Urgent = urgent
 	if seeds := n.settings.Instance.Peers; len(seeds) > 0 {
 		c.detector.Seed(seedsOf(seeds))
 	}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -28,6 +28,20 @@
 	keyEvidence = "evidence/" // evidence about a roll-out, by member
 )
 
+// urgent reports whether an entry goes before all others: what takes work away,
+// and what other entries depend on.
+func urgent(key string) bool {
+	if key == keyHead {
+		return true
+	}
+	for _, prefix := range [...]string{keyTakeOut, keyRollout, keyMember, keyEpoch} {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// gossipBytes bounds the entries in one message.
 	gossipBytes = 1200
