node: bound the kernel's buffers for callers; slow readers over real sockets measured

Cause: what the kernel holds for a caller that doesn't read was not bounded, and 10,000 slow readers had not been run over real sockets. Change: limits.socket-buffer-bytes; BenchmarkSlowReaders with 7,000 callers, which is what 20,000 open files allow.

--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -59,3 +59,23 @@
 	}
 	return err
 }
+
+// Listener bounds what the kernel holds for the other end of each connection
+// that it accepts.
+type Listener struct {
+	net.Listener
+	WriteBufferBytes int
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		// Without the bound the connection still works.
+		_ = t.SetWriteBuffer(l.WriteBufferBytes)
+	}
+	return c, nil
+}
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -4,12 +4,17 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +183,79 @@
 		b.Errorf("a stream carries %.0f events a second", through)
 	}
 }
+
+// residentBytes returns the memory of the process.
+func residentBytes(b *testing.B) int64 {
+	debug.FreeOSMemory()
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		b.Skip("needs /proc")
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return pages * int64(os.Getpagesize())
+}
+
+// longAnswer streams 200 kB in pieces of 1 kB, with ids, so that it can be
+// resumed.
+type longAnswer struct{}
+
+func (longAnswer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := "chatcmpl-" + r.Header.Get("X-Request-Id")
+	_, _ = io.Copy(io.Discard, r.Body)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	text := strings.Repeat("x", 1000)
+	for i := after + 1; i <= 200; i++ {
+		_, err := fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i, id, text)
+		if err != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// BenchmarkSlowReaders holds 7,000 callers that read nothing on one instance,
+// both ends of whose connections fit into 20,000 open files. The targets are 400
+// MB for 10,000, and a normal caller's p95 at most a tenth above that without
+// them.
+func BenchmarkSlowReaders(b *testing.B) {
+	const readers = 7_000
+	entry, _ := startBench(b, longAnswer{})
+	p95 := func() time.Duration {
+		var times []time.Duration
+		for range 200 {
+			begin := time.Now()
+			answer := post(b, entry, completionBody("small", "fast", true))
+			_, _ = io.Copy(io.Discard, answer)
+			_ = answer.Close()
+			times = append(times, time.Since(begin))
+		}
+		return percentile(times, 95)
+	}
+	before, memory := p95(), residentBytes(b)
+	body := completionBody("small", "slow", true)
+	request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	for range readers {
+		c, err := dialer.Dial("tcp", entry)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, request); err != nil {
+			b.Fatal(err)
+		}
+	}
+	time.Sleep(15 * time.Second)
+	held := residentBytes(b) - memory
+	during := p95()
+	b.ReportMetric(float64(held)/readers, "B/reader")
+	b.ReportMetric(float64(during)/float64(before), "of-p95-without")
+	if held > slowReaderBound*readers {
+		b.Errorf("%d slow readers take %d MB", readers, held>>20)
+	}
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -9,6 +9,7 @@
 
 	"banyanyard/io/operator"
 	"banyanyard/io/peer"
+	"banyanyard/io/tcp"
 
 	"github.com/pkg/errors"
 )
@@ -73,7 +74,8 @@
 		operators:  n.newServer(operator.New(n)),
 	}
 	failed := make(chan error, 4)
-	go func() { failed <- serve(servers.callers, secured(l.Callers, callerTLS)) }()
+	forCallers := tcp.Listener{Listener: l.Callers, WriteBufferBytes: n.settings.Limits.SocketBufferBytes}
+	go func() { failed <- serve(servers.callers, secured(forCallers, callerTLS)) }()
 	go func() { failed <- serve(servers.handedOver, handedOver) }()
 	go func() { failed <- serve(servers.operators, l.Operators) }()
 	go func() { failed <- peers.Serve(work, rpc) }()
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -56,6 +56,7 @@
 	StreamBufferBytes int   `toml:"stream-buffer-bytes" doc:"Most bytes held for one slow caller."`
 	OrganisationBytes int64 `toml:"organisation-buffer-bytes" doc:"Most bytes held for the slow callers of one organisation."`
 	InstanceBytes     int64 `toml:"instance-buffer-bytes" doc:"Most bytes held for all slow callers."`
+	SocketBufferBytes int   `toml:"socket-buffer-bytes" doc:"Most bytes that the kernel holds for one caller, beside stream-buffer-bytes."`
 	PendingCharges    int   `toml:"pending-charges" doc:"Most charges that wait for the table. Beyond it, requests are refused before they run."`
 }
 
@@ -114,7 +115,7 @@
 		Platform: Platform{Timeout: Duration(2 * time.Second), PollInterval: Duration(time.Second)},
 		Limits: Limits{
 			BodyBytes: 4 << 20, HeaderBytes: 32 << 10, StreamBufferBytes: 16 << 10,
-			OrganisationBytes: 32 << 20, InstanceBytes: 64 << 20, PendingCharges: 200_000,
+			OrganisationBytes: 32 << 20, InstanceBytes: 64 << 20, SocketBufferBytes: 32 << 10, PendingCharges: 200_000,
 		},
 		Timeouts: Timeouts{
 			Request: Duration(2 * time.Minute), MaxRequest: Duration(10 * time.Minute),
@@ -182,6 +183,7 @@
 	c.positive("limits.stream-buffer-bytes", int64(s.Limits.StreamBufferBytes))
 	c.positive("limits.organisation-buffer-bytes", s.Limits.OrganisationBytes)
 	c.positive("limits.instance-buffer-bytes", s.Limits.InstanceBytes)
+	c.positive("limits.socket-buffer-bytes", int64(s.Limits.SocketBufferBytes))
 	c.positive("limits.pending-charges", int64(s.Limits.PendingCharges))
 	c.durations(s)
 	c.security(&s.Security)
