--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	_ "banyanyard/core/internal/seeded"
 	"banyanyard/core/refusal"
 	"banyanyard/core/rules"
 	"banyanyard/core/slot"
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 
+	_ "banyanyard/core/internal/seeded"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	_ "banyanyard/core/internal/seeded"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	_ "banyanyard/core/internal/seeded"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	_ "banyanyard/core/internal/seeded"
 	"banyanyard/core/tally"
 
 	"github.com/matryer/is"
--- a/core/rules/patch_test.go
+++ b/core/rules/patch_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	_ "banyanyard/core/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
--- a/core/slot/slot_test.go
+++ b/core/slot/slot_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	_ "banyanyard/core/internal/seeded"
 	"banyanyard/core/rules"
 
 	"pgregory.net/rapid"
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	_ "banyanyard/core/internal/seeded"
+
 	"pgregory.net/rapid"
 )
 
