node, io/engine: steady slow readers get their whole answer

Cause: reading the code showed that a stream was resumed at most twice, also for a caller that merely reads slowly; the test for it then showed that time which the caller took counted as the engine's silence ("sent nothing for 5s"). Change: only broken streams count against the bound; the deadline of a piece is moved when it is old, also while a part of the piece has arrived.

--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -19,7 +19,10 @@
 	readBufferBytes = 4 << 10
 	maxPieceBytes   = 1 << 20
 	maxWholeBytes   = 32 << 20
-	endTimeout      = time.Second // for the end of a body whose answer is whole
+	// deadlineParts is the part of the gap after which the deadline is moved
+	// even though a part of the next piece has arrived.
+	deadlineParts = 8
+	endTimeout    = time.Second // for the end of a body whose answer is whole
 )
 
 var (
@@ -41,6 +44,8 @@
 	usage    Usage
 	lastID   []byte // id of the newest event; empty when the engine sends none
 	done     bool
+	// deadlineSet is when the connection's deadline was moved.
+	deadlineSet time.Time
 }
 
 func newAnswer(ctx context.Context, c *Client, cn *conn, a Attempt, response *http.Response) *Answer {
@@ -87,9 +92,7 @@
 // the engine has said that the answer is whole, and never before.
 func (a *Answer) Next() ([]byte, error) {
 	for {
-		if a.reader.Buffered() == 0 {
-			a.conn.within(a.attempt.Gap)
-		}
+		a.keepDeadline()
 		line, err := a.readLine()
 		if err != nil {
 			return nil, a.readError(err)
@@ -111,6 +114,17 @@
 	}
 }
 
+// keepDeadline gives the next piece its time. The time that a slow caller has
+// taken since the newest piece doesn't count.
+func (a *Answer) keepDeadline() {
+	now := time.Now()
+	if a.reader.Buffered() > 0 && now.Sub(a.deadlineSet) < a.attempt.Gap/deadlineParts {
+		return
+	}
+	a.deadlineSet = now
+	a.conn.within(a.attempt.Gap)
+}
+
 // readID remembers the id of the event that a line begins.
 func (a *Answer) readID(line []byte) {
 	if id, ok := bytes.CutPrefix(line, idField); ok {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -14,7 +14,9 @@
 	"banyanyard/io/engine"
 )
 
-// maxResumes bounds how often a broken stream is resumed at its engine.
+// maxResumes bounds how often a broken stream is resumed at its engine. A stream
+// that was stopped for a slow reader goes on each time that the caller has read
+// everything, so that it always makes progress.
 const maxResumes = 2
 
 // An attempt is one run of a request at one upstream.
@@ -58,10 +60,7 @@
 		}
 		err = a.relay(ctx, answer)
 		answer.Close()
-		for resumes := 0; err != nil && r.begun && resumes < maxResumes; resumes++ {
-			err = a.resume(ctx, err)
-		}
-		if err != nil {
+		if err = a.resumeWhileBroken(ctx, err); err != nil {
 			return err
 		}
 		r.commit(ctx)
@@ -196,32 +195,44 @@
 	r.lastAt = now
 }
 
-// resume continues a stream that broke, or that was stopped because the caller
-// did not read, at the same engine. It returns the given error when the stream
-// can't be resumed.
-func (a *attempt) resume(ctx context.Context, broken error) error {
-	if a.delivered == "" || ctx.Err() != nil || !resumable(broken) {
-		return broken
+// resumeWhileBroken resumes a stream that the caller has begun to read until it
+// is whole. It returns the error that can't be resumed from.
+func (a *attempt) resumeWhileBroken(ctx context.Context, err error) error {
+	for broken := 0; err != nil && a.run.begun; {
+		var slow *caller.SlowReaderError
+		if !errors.As(err, &slow) {
+			broken++
+		}
+		if broken > maxResumes || a.delivered == "" || ctx.Err() != nil || !resumable(err) {
+			return err
+		}
+		answer, resumeErr := a.resume(ctx, err)
+		if resumeErr != nil {
+			return err
+		}
+		err = a.relay(ctx, answer)
+		answer.Close()
 	}
+	return err
+}
+
+// resume opens a stream that broke, or that was stopped because the caller did
+// not read, at the same engine behind what the caller's buffer took.
+func (a *attempt) resume(ctx context.Context, broken error) (*engine.Answer, error) {
 	a.release(ctx, broken)
 	if err := a.run.out.Room(ctx); err != nil {
-		return err
+		return nil, err
 	}
 	only := a.run.ticket(ctx, a.target, "")
 	only.Only = a.start.Upstream
 	if err := a.run.node.slots.acquire(ctx, only); err != nil {
-		return broken
+		return nil, err
 	}
 	a.ticket = only
 	again := a.start
 	again.After = a.delivered
 	again.FirstByte = again.Gap
-	answer, err := a.run.node.engines.Start(ctx, again)
-	if err != nil {
-		return broken
-	}
-	defer answer.Close()
-	return a.relay(ctx, answer)
+	return a.run.node.engines.Start(ctx, again)
 }
 
 func resumable(err error) bool {
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -313,3 +313,33 @@
 		d.is.True(longest > 3000 && longest <= 4000)
 	})
 }
+
+// TestSteadySlowReaderGetsTheWholeAnswer reads a long answer a little at a time,
+// so that the stream is stopped and resumed many times.
+func TestSteadySlowReaderGetsTheWholeAnswer(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		const answerBytes = 200_000
+		for _, e := range d.engines {
+			e.Pieces, e.Gap = 200, time.Millisecond
+			e.Text = func(string, string) string { return strings.Repeat("0123456789", answerBytes/10) }
+		}
+		response, err := d.open(context.Background(), request{body: completionBody("small", "hello", true)})
+		d.is.NoErr(err)
+		var body strings.Builder
+		for err == nil {
+			time.Sleep(3 * time.Second)
+			_, err = io.CopyN(&body, response.Body, 8<<10)
+		}
+		text, whole := streamText(body.String())
+		d.is.True(whole)
+		d.is.Equal(len(text), answerBytes)
+		d.is.Equal(d.ran("small"), 1)
+		resumed := 0
+		for _, e := range d.engines {
+			resumed += e.Record().Resumed
+		}
+		d.is.True(resumed > maxResumes)
+		time.Sleep(2 * chargeInterval)
+		d.is.Equal(len(d.charges()), 1)
+	})
+}
