node: an ordinary client library works unchanged; unreachable upstreams

Cause: that a client library for the API works had not been shown, nor a refusal where nothing listens at any upstream; plain services had no histogram. Change: a test with such a library, address and key alone changed: whole answers, streams, models and the typed refusal; request times of services by name.

--- a/node/call.go
+++ b/node/call.go
@@ -35,7 +35,9 @@
 	}
 	n.retries.request(c.Organisation.ID)
 	call := &serviceCall{node: n, request: c, rule: c.Rules.Call(c.Service, c.Method, c.Path), attempt: rand.Text()}
+	begin := time.Now()
 	answer, err := call.run(ctx)
+	n.metrics.of(c.Organisation.ID, c.Service).request.Observe(time.Since(begin).Seconds())
 	if err != nil {
 		n.observeCall(c, err)
 		return nil, err
--- /dev/null
+++ b/node/client_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// client returns an ordinary client library for the API, with nothing changed
+// but the address and the key.
+func (d *deployment) client(key string) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+d.nodes[0].address+"/v1"),
+		option.WithAPIKey(key),
+		option.WithMaxRetries(0),
+		option.WithHTTPClient(&http.Client{Transport: &http.Transport{DialContext: d.network.From("client").DialContext, DisableKeepAlives: true}}),
+	)
+}
+
+func question(model string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    model,
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("which beds are free")},
+	}
+}
+
+func TestOrdinaryClientLibrary(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		ctx := d.t.Context()
+		c := d.client(testKey)
+
+		whole, err := c.Chat.Completions.New(ctx, question("small"))
+		d.is.NoErr(err)
+		d.is.Equal(whole.Choices[0].Message.Content, "small@v1: which beds are free")
+		d.is.True(whole.Usage.CompletionTokens > 0)
+
+		stream := c.Chat.Completions.NewStreaming(ctx, question("large"))
+		text := ""
+		for stream.Next() {
+			if chunk := stream.Current(); len(chunk.Choices) > 0 {
+				text += chunk.Choices[0].Delta.Content
+			}
+		}
+		d.is.NoErr(stream.Err())
+		d.is.Equal(text, "large@v1: which beds are free")
+
+		models, err := c.Models.List(ctx)
+		d.is.NoErr(err)
+		d.is.True(len(models.Data) > 0)
+
+		stranger := d.client("key-of-strangers")
+		_, err = stranger.Chat.Completions.New(ctx, question("large"))
+		var refused *openai.Error
+		d.is.True(errors.As(err, &refused))
+		d.is.Equal(refused.StatusCode, http.StatusForbidden)
+		d.is.Equal(refused.Code, "model-not-allowed")
+	})
+}
+
+// TestUnreachableUpstreams gives the model only upstreams where nothing
+// listens.
+func TestUnreachableUpstreams(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		for i := range testDomains {
+			d.change(engineAddress(i), engineAddress(i+7))
+		}
+		time.Sleep(settleTime)
+		r := d.send(request{})
+		d.is.Equal(r.status, 503)
+		d.is.Equal(r.problem.Run, "not-run")
+		d.is.True(r.header.Get("Retry-After") != "")
+	})
+}
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -113,7 +113,10 @@
 	for i, domain := range testDomains {
 		for j, model := range []string{"small", "large"} {
 			id := model + "-" + domain
-			address := fmt.Sprintf("10.%d.1.%d:8000", i, j)
+			address := engineAddress(i)
+			if j > 0 {
+				address = fmt.Sprintf("10.%d.1.%d:8000", i, j)
+			}
 			e := &enginefake.Engine{ID: id, FirstToken: 50 * time.Millisecond, Gap: 20 * time.Millisecond}
 			d.engines[id] = e
 			d.serve(address, domain, e.Handler())
@@ -125,6 +128,9 @@
 	}
 }
 
+// engineAddress returns the address of the small model's engine in a domain.
+func engineAddress(domain int) string { return fmt.Sprintf("10.%d.1.0:8000", domain) }
+
 func hashOf(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return "sha256:" + hex.EncodeToString(sum[:])
