--- a/core/route/route.go
+++ b/core/route/route.go
@@ -165,7 +165,9 @@
 	from := rules.Target{Model: rollout.Model, Version: rollout.From}
 	to := rules.Target{Model: rollout.Model, Version: rollout.To}
 	percentile := session.Percentile(r.organisation.ID, r.session.ID, rollout.Model)
-	if !r.session.Unsure && usable(r.set, r.organisation, r.set.Versions[to]) && r.rollouts.Enter(rollout, percentile) {
+	// A plan tries one new version at most, so that its failure is clear.
+	mayTry := r.plan.Trial == nil && !r.session.Unsure
+	if mayTry && usable(r.set, r.organisation, r.set.Versions[to]) && r.rollouts.Enter(rollout, percentile) {
 		r.plan.Trial = rollout
 		return to, true
 	}
--- a/node/complete.go
+++ b/node/complete.go
@@ -54,12 +54,12 @@
 		return err
 	}
 	r.node.retries.request(r.request.Organisation.ID)
-	if err := r.checkContext(); err != nil {
+	if err := r.admit(); err != nil {
+		if r.plan.Trial != nil {
+			r.node.rollouts.leave(r.plan.Trial, true)
+		}
 		return err
 	}
-	if !r.node.charges.reserve() {
-		return refusal.New(refusal.ChargesPending, "send the request to another instance", "too many charges wait for the platform").After(time.Second)
-	}
 	r.spent = charge.Charge{Request: r.request.ID, Organisation: r.request.Organisation.ID, Class: r.plan.ClassName()}
 	err := r.answerByTrial(ctx)
 	if r.spent.At.IsZero() {
@@ -73,22 +73,21 @@
 // session that tries a new version keeps it once that has answered.
 func (r *completion) resolve(ctx context.Context, rollouts route.Rollouts) error {
 	for {
-		session := r.request.Session.Clone()
-		plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, session, rollouts)
+		after := r.request.Session.Clone()
+		plan, refused := route.Resolve(r.request.Rules, r.request.Organisation, r.request.Name, after, rollouts)
 		if refused != nil {
 			return refused
 		}
-		var kept = session
 		if plan.Trial == nil {
-			kept = r.node.sessions.keep(ctx, r.request.Session, session)
-		}
-		if kept == nil || plan.Trial != nil {
-			r.plan = plan
-			r.before = r.request.Session
-			r.request.Session = session
-			return nil
+			if kept := r.node.sessions.keep(ctx, r.request.Session, after); kept != nil {
+				r.request.Session = kept
+				continue
+			}
 		}
-		r.request.Session = kept
+		r.plan = plan
+		r.before = r.request.Session
+		r.request.Session = after
+		return nil
 	}
 }
 
@@ -117,6 +116,18 @@
 	return r.answer(ctx)
 }
 
+// admit refuses a request that no model can hold, or whose charge couldn't be
+// kept. It reserves room for the charge.
+func (r *completion) admit() error {
+	if err := r.checkContext(); err != nil {
+		return err
+	}
+	if !r.node.charges.reserve() {
+		return refusal.New(refusal.ChargesPending, "send the request to another instance", "too many charges wait for the platform").After(time.Second)
+	}
+	return nil
+}
+
 func (r *completion) checkContext() error {
 	model := r.request.Rules.Models[r.plan.Steps[0].Model]
 	if r.request.MaxTokens > model.ContextTokens {
