node: measure upstreams replaced one after another

Cause: half of the upstreams replaced under load had no measure. Change: TestMeasureHalfOfTheUpstreamsReplaced, with the users' bounds.

--- a/node/measure_test.go
+++ b/node/measure_test.go
@@ -221,6 +221,34 @@
 	})
 }
 
+// TestMeasureHalfOfTheUpstreamsReplaced takes upstreams out one after another
+// and brings each back cold, under load.
+func TestMeasureHalfOfTheUpstreamsReplaced(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.sevenInstances()
+		l := newLoad(d, "small", 80)
+		l.start(15 * time.Second)
+		replaced := time.Now()
+		for _, id := range []string{"small-milano-a", "small-torino-b"} {
+			d.change(`upstream = { id = "`+id+`",`, `upstream = { id = "`+id+`", state = "out",`)
+			l.start(8 * time.Second)
+			d.engines[id].Restart(6)
+			d.change(`upstream = { id = "`+id+`", state = "out",`, `upstream = { id = "`+id+`",`)
+			l.start(12 * time.Second)
+		}
+		l.inFlight.Wait()
+		before := percentile(l.firstTokens(time.Time{}, replaced), 95)
+		during := percentile(l.firstTokens(replaced, time.Now()), 95)
+		ratio := float64(during) / float64(before)
+		t.Logf("p95 of the first token %v before, %v while two of three upstreams are replaced (%.2f times), answered %.4f", before, during, ratio, l.answered())
+		d.is.True(ratio <= duringBound)
+		d.is.Equal(l.answered(), answeredBound)
+		for _, id := range []string{"small-milano-a", "small-torino-b"} {
+			d.is.Equal(d.engines[id].Record().Overloaded, 0) // the return overloads nothing
+		}
+	})
+}
+
 // TestMeasureSlowReaders compares the bytes that an instance holds for callers
 // that do not read with the size of their answers, which unbounded buffers
 // would hold.
