core/rules: a changed step begins a roll-out's state anew

Cause: reading the tests again showed that running instances ignored an operator's change of step: the state of the roll-out, once made, kept its own. The old test passed because it asked an instance that had been replaced. Change: the state's key has the step; the test asks all instances, and steps back.

--- a/core/rules/kinds.go
+++ b/core/rules/kinds.go
@@ -126,8 +126,11 @@
 	Manual        bool   `toml:"manual"`         // it stays at Step until an operator changes it, but still stops
 }
 
-// Key names the roll-out's state.
-func (r *Rollout) Key() string { return r.Model + "/" + r.From + "/" + r.To }
+// Key names the roll-out's state. An operator who changes Step begins another
+// one there.
+func (r *Rollout) Key() string {
+	return fmt.Sprintf("%s/%s/%s/%d", r.Model, r.From, r.To, r.Step)
+}
 
 // A FailureDomain holds entry instances and upstreams that fail together.
 type FailureDomain struct {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -332,7 +332,7 @@
 	scenario(t, func(d *deployment) {
 		d.apply(strings.ReplaceAll(d.rules, `serves = ["small@v1"]`, `serves = ["small@v1", "small@v2"]`) +
 			"version = { model = \"small\", id = \"v2\", state = \"serving\" } # T: test\n" +
-			"rollout = { model = \"small\", from = \"v1\", to = \"v2\", shares-percent = [0, 50, 100], step = 0 } # T: test\n")
+			"rollout = { model = \"small\", from = \"v1\", to = \"v2\", shares-percent = [0, 50, 100], step = 0, manual = true } # T: test\n")
 		time.Sleep(settleTime)
 		token := d.send(request{}).header.Get(caller.HeaderSession)
 		byID := func(node int) string {
@@ -350,7 +350,14 @@
 				d.is.Equal(byID(i), "v1")
 			}
 		}
-		d.is.Equal(d.send(request{}).header.Get(caller.HeaderVersion), "v2") // a new session
+		for i := range 3 { // also where no instance was replaced
+			d.is.Equal(d.send(request{node: i}).header.Get(caller.HeaderVersion), "v2") // a new session
+		}
+		newer := d.send(request{}).header.Get(caller.HeaderSession)
+		d.change("step = 2", "step = 0") // and back
+		time.Sleep(settleTime)
+		d.is.Equal(d.send(request{}).header.Get(caller.HeaderVersion), "v1")
+		d.is.Equal(d.send(request{node: 2, header: map[string]string{caller.HeaderSession: newer}}).header.Get(caller.HeaderVersion), "v2")
 		d.platform.SetFaults(failTable(platform.TableSessions))
 		d.is.Equal(byID(1), "v1") // known to the instance
 		d.platformUp()
--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -46,7 +46,7 @@
 			d.send(request{node: i % 3})
 		}
 		d.is.Equal(d.ranVersion("small@v2"), reached)
-		row, err := d.platform.Get(d.t.Context(), platform.TableRollouts, rolloutRow("small/v1/v2"))
+		row, err := d.platform.Get(d.t.Context(), platform.TableRollouts, rolloutRow("small/v1/v2/0"))
 		d.is.NoErr(err)
 		d.is.True(strings.Contains(string(row.Value), "errors: "))
 	})
