--- a/cmd/banyanyard/rulesstatus.go
+++ b/cmd/banyanyard/rulesstatus.go
@@ -25,7 +25,8 @@
 		Use:   "status",
 		Short: "Show which instances have which revision in force",
 		Long: `Ask one instance what it knows about all: the revision that each has in force,
-whether it can be reached, and since when not.`,
+whether it can be reached, and since when not; the upstreams, the roll-outs, and
+how often the cheap models of cascades suffice.`,
 		Example: "  banyanyard rules status --instance http://10.0.0.11:8082",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -69,9 +70,36 @@
 	for _, u := range s.Upstreams {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%d%%\t%d\t%d\t%d\n", u.ID, upstreamState(u), u.Warm, u.Requests, u.Limit, u.Share)
 	}
+	printRollouts(w, s)
 	return w.Flush()
 }
 
+// printRollouts adds the state of roll-outs and cascades, where there are any.
+func printRollouts(w io.Writer, s *operator.Status) {
+	if len(s.Rollouts) > 0 {
+		_, _ = fmt.Fprintln(w, "\nROLLOUT\tSHARE\tREQUESTS\tERRORS\tSTATE")
+	}
+	for _, r := range s.Rollouts {
+		_, _ = fmt.Fprintf(w, "%s\t%d%%\t%d\t%d\t%s\n", r.Rollout, r.SharePercent, r.Requests, r.Errors, rolloutState(r))
+	}
+	if len(s.Classes) > 0 {
+		_, _ = fmt.Fprintln(w, "\nORGANISATION\tCLASS\tRATINGS\tCHEAP SUFFICED\tNEWEST")
+	}
+	for _, c := range s.Classes {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%s\n", c.Organisation, c.Class, c.Ratings, c.Sufficed, since(c.Newest))
+	}
+}
+
+func rolloutState(r operator.RolloutStatus) string {
+	switch {
+	case r.Stopped != "":
+		return "stopped: " + r.Stopped
+	case r.Done:
+		return "done"
+	}
+	return "running"
+}
+
 func since(t time.Time) string {
 	if t.IsZero() {
 		return "-"
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -34,6 +34,28 @@
 	HeldBytes      int64            `json:"held-bytes"`
 	Members        []MemberStatus   `json:"members"` // this instance first
 	Upstreams      []UpstreamStatus `json:"upstreams"`
+	Rollouts       []RolloutStatus  `json:"rollouts"`
+	Classes        []ClassStatus    `json:"classes"`
+}
+
+// A RolloutStatus is how far a roll-out has come, by the evidence of all
+// instances.
+type RolloutStatus struct {
+	Rollout      string `json:"rollout"` // model/from/to/step
+	SharePercent int    `json:"share-percent"`
+	Done         bool   `json:"done"`
+	Stopped      string `json:"stopped"`  // why; empty while it runs
+	Requests     int    `json:"requests"` // to the new version since its newest step began
+	Errors       int    `json:"errors"`   // of Requests
+}
+
+// A ClassStatus is what is known about the cheap model of a class.
+type ClassStatus struct {
+	Organisation string    `json:"organisation"`
+	Class        string    `json:"class"`
+	Ratings      int       `json:"ratings"`
+	Sufficed     float64   `json:"sufficed"` // share of Ratings
+	Newest       time.Time `json:"newest"`   // rating
 }
 
 // A MemberStatus is what the instance knows about one entry instance.
--- a/node/learners.go
+++ b/node/learners.go
@@ -59,11 +59,18 @@
 func (l *learners) choose(k learnerKey, s cascade.Situation) cascade.Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	all := l.all(k)
+	return all.Choose(time.Now(), s, l.random)
+}
+
+// all returns what all instances have learnt about a class. Its caller holds
+// mu.
+func (l *learners) all(k learnerKey) cascade.Learner {
 	all := *l.learner(k)
 	for _, o := range l.others[k] {
 		all.Merge(o)
 	}
-	return all.Choose(time.Now(), s, l.random)
+	return all
 }
 
 func (l *learners) rated(k learnerKey, b cascade.Bucket, sufficed bool) {
--- a/node/status.go
+++ b/node/status.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"banyanyard/core/cascade"
 	"banyanyard/core/member"
+	"banyanyard/core/rules"
+	"banyanyard/core/tally"
 	"banyanyard/io/operator"
 )
 
@@ -50,9 +56,11 @@
 		HeldBytes:      n.handler.HeldBytes(),
 		Members:        n.memberStatus(),
 		Upstreams:      n.slots.status(time.Now()),
+		Classes:        n.learners.status(time.Now()),
 	}
 	if snapshot := n.snapshot.Load(); snapshot != nil {
 		s.Revision = snapshot.Head.Number
+		s.Rollouts = n.rollouts.status(snapshot.Rules)
 	}
 	return s
 }
@@ -76,3 +84,41 @@
 	}
 	return list
 }
+
+// status returns the roll-outs of the rules, sorted.
+func (r *rollouts) status(set *rules.Set) []operator.RolloutStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []operator.RolloutStatus
+	for _, model := range slices.Sorted(maps.Keys(set.Rollouts)) {
+		rule := set.Rollouts[model]
+		t := r.trial(rule)
+		errors := t.total().New.Errors
+		list = append(list, operator.RolloutStatus{
+			Rollout: rule.Key(), SharePercent: t.state.Share(rule.SharesPercent), Done: t.state.Done,
+			Stopped: t.state.Stopped, Requests: errors.N(), Errors: errors.Bad,
+		})
+	}
+	return list
+}
+
+// status returns what is known about the classes, sorted.
+func (l *learners) status(now time.Time) []operator.ClassStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []operator.ClassStatus
+	for k := range l.own {
+		known := l.all(k)
+		var sum tally.Counts
+		for b := range known.Ratings {
+			sum = sum.Plus(known.Ratings[b].Sum(now, cascade.SlotLength))
+		}
+		list = append(list, operator.ClassStatus{
+			Organisation: k.organisation, Class: k.class, Ratings: sum.N(), Sufficed: sum.Rate(), Newest: known.Newest,
+		})
+	}
+	slices.SortFunc(list, func(a, b operator.ClassStatus) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class))
+	})
+	return list
+}
