--- a/node/measure_test.go
+++ b/node/measure_test.go
@@ -132,6 +132,18 @@
 	return float64(n) / float64(len(l.samples))
 }
 
+// holdsDuring compares the time to the first token since a change with that
+// before it, and checks that everything was answered.
+func (l *load) holdsDuring(t *testing.T, what string, change time.Time) {
+	l.inFlight.Wait()
+	before := percentile(l.firstTokens(time.Time{}, change), 95)
+	during := percentile(l.firstTokens(change, time.Now()), 95)
+	ratio := float64(during) / float64(before)
+	t.Logf("p95 of the first token %v before, %v while %s (%.2f times), answered %.4f", before, during, what, ratio, l.answered())
+	l.d.is.True(ratio <= duringBound)
+	l.d.is.Equal(l.answered(), answeredBound)
+}
+
 func percentile(list []time.Duration, p int) time.Duration {
 	if len(list) == 0 {
 		return 0
@@ -210,13 +222,7 @@
 		d.engines["large-pavia-c"].Restart(6)
 		d.change(`id = "pavia-c", state = "out"`, `id = "pavia-c", state = "in"`)
 		l.start(20 * time.Second)
-		l.inFlight.Wait()
-		before := percentile(l.firstTokens(time.Time{}, leaves), 95)
-		during := percentile(l.firstTokens(leaves, time.Now()), 95)
-		ratio := float64(during) / float64(before)
-		t.Logf("p95 of the first token %v before, %v while the domain leaves and returns (%.2f times), answered %.4f", before, during, ratio, l.answered())
-		d.is.True(ratio <= duringBound)
-		d.is.Equal(l.answered(), answeredBound)
+		l.holdsDuring(t, "the domain leaves and returns", leaves)
 		d.is.Equal(d.engines["large-pavia-c"].Record().Overloaded, 0)
 	})
 }
@@ -236,13 +242,7 @@
 			d.change(`upstream = { id = "`+id+`", state = "out",`, `upstream = { id = "`+id+`",`)
 			l.start(12 * time.Second)
 		}
-		l.inFlight.Wait()
-		before := percentile(l.firstTokens(time.Time{}, replaced), 95)
-		during := percentile(l.firstTokens(replaced, time.Now()), 95)
-		ratio := float64(during) / float64(before)
-		t.Logf("p95 of the first token %v before, %v while two of three upstreams are replaced (%.2f times), answered %.4f", before, during, ratio, l.answered())
-		d.is.True(ratio <= duringBound)
-		d.is.Equal(l.answered(), answeredBound)
+		l.holdsDuring(t, "two of three upstreams are replaced", replaced)
 		for _, id := range []string{"small-milano-a", "small-torino-b"} {
 			d.is.Equal(d.engines[id].Record().Overloaded, 0) // the return overloads nothing
 		}
