node, io/engine: one back-off, no copies that are not needed

Cause: reading the whole change once more: completions and service calls had the same three lines for a retry; each change of a member copied every pending charge under the lock; each request body was copied into a string; the view of the members was built anew for each entry of a message; an outcome was found twice. Change: each of these; behaviour stays as it is.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,7 +10,6 @@
 	"net/url"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -181,7 +181,7 @@
 		Method:        http.MethodPost,
 		URL:           &url.URL{Scheme: "http", Host: a.Address, Path: completionsPath},
 		Header:        header,
-		Body:          io.NopCloser(strings.NewReader(string(a.Body))),
+		Body:          io.NopCloser(bytes.NewReader(a.Body)),
 		ContentLength: int64(len(a.Body)),
 	}
 }
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -112,15 +112,7 @@
 
 // retry decides whether another attempt follows the error, and waits before it.
 func (r *completion) retry(ctx context.Context, err error, failed string) bool {
-	if !retryable(err) {
-		return false
-	}
-	if !r.node.retries.allow(r.request.Organisation.ID, failed) {
-		return false
-	}
-	r.node.metrics.retries.WithLabelValues(r.request.Organisation.ID).Inc()
-	pause(ctx, r.node.retries.delay(r.attempts))
-	return ctx.Err() == nil
+	return retryable(err) && r.node.backOff(ctx, r.request.Organisation.ID, failed, r.attempts)
 }
 
 // retryable reports whether a completion may run again after the error. A
--- a/node/call.go
+++ b/node/call.go
@@ -126,12 +126,7 @@
 	if !errors.As(err, &notRun) && !c.rule.Idempotent || ctx.Err() != nil {
 		return false
 	}
-	if !c.node.retries.allow(c.request.Organisation.ID, failed) {
-		return false
-	}
-	c.node.metrics.retries.WithLabelValues(c.request.Organisation.ID).Inc()
-	pause(ctx, c.node.retries.delay(c.attempts))
-	return ctx.Err() == nil
+	return c.node.backOff(ctx, c.request.Organisation.ID, failed, c.attempts)
 }
 
 func serviceOutcome(ctx context.Context, err error) dispatch.Outcome {
--- a/node/charges.go
+++ b/node/charges.go
@@ -97,21 +97,21 @@
 func (c *charges) membersChanged(m *members) {
 	chosen := m.custodians(copies)
 	c.mu.Lock()
-	old := c.custodians
+	defer c.mu.Unlock()
+	added := slices.DeleteFunc(slices.Clone(chosen), c.isCustodian)
 	c.custodians = chosen
-	pending := c.outbox.All()
-	c.mu.Unlock()
-	var added []member.Status
-	for _, m := range chosen {
-		if !slices.ContainsFunc(old, func(o member.Status) bool { return o.ID == m.ID }) {
-			added = append(added, m)
-		}
-	}
-	if len(added) > 0 && len(pending) > 0 {
-		go c.hold(context.Background(), added, pending)
+	// The pending charges of an outage are many; they are copied only for an
+	// instance that lacks them.
+	if len(added) > 0 && c.outbox.Len() > 0 {
+		go c.hold(context.Background(), added, c.outbox.All())
 	}
 }
 
+// isCustodian reports whether a member holds copies. Its caller holds mu.
+func (c *charges) isCustodian(m member.Status) bool {
+	return slices.ContainsFunc(c.custodians, func(o member.Status) bool { return o.ID == m.ID })
+}
+
 // takeOver makes the charges of an instance that is gone this instance's own.
 // If it still runs, both write the same rows, which count once.
 func (c *charges) takeOver(owner string) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -74,10 +74,12 @@
 // learn takes entries from another instance into account.
 func (c *control) learn(entries []gossip.Entry) {
 	now := time.Now()
+	acting := false
 	for _, e := range entries {
 		if c.aboutSelf(now, e) || !c.gossip.Put(e) {
 			continue
 		}
+		acting = acting || strings.HasPrefix(e.Key, keyEpoch)
 		switch {
 		case e.Key == keyHead:
 			c.learnHead(e)
@@ -97,6 +99,9 @@
 			c.learnRollout(e)
 		}
 	}
+	if acting {
+		c.showMembers()
+	}
 }
 
 // aboutSelf refutes what others doubt about this instance, also when gossip has
@@ -136,7 +141,6 @@
 	}
 	agreed := c.shares.Agreed()
 	c.shares.Acts(strings.TrimPrefix(e.Key, keyEpoch), e.Version)
-	c.showMembers()
 	if c.shares.Agreed() != agreed {
 		c.publish()
 	}
--- a/node/outcome.go
+++ b/node/outcome.go
@@ -15,16 +15,17 @@
 	if a.ticket.Upstream() == nil {
 		return
 	}
-	a.run.node.slots.release(a.ticket, outcome(ctx, err), a.firstToken)
+	o := outcome(ctx, err)
+	a.run.node.slots.release(a.ticket, o, a.firstToken)
 	a.run.noteRun(err)
 	a.noteCrash(ctx, err)
-	a.noteEvidence(ctx, err)
+	a.noteEvidence(o)
 }
 
 // noteEvidence counts a run for the roll-outs. What the caller or an overloaded
 // upstream ended says nothing about the version.
-func (a *attempt) noteEvidence(ctx context.Context, err error) {
-	switch outcome(ctx, err) {
+func (a *attempt) noteEvidence(o dispatch.Outcome) {
+	switch o {
 	case dispatch.Answered:
 		a.run.node.rollouts.countRun(a.run.request.Rules, a.target, true, a.firstToken)
 	case dispatch.Broken, dispatch.Failed:
--- a/node/retries.go
+++ b/node/retries.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -56,6 +57,17 @@
 	return retry.Delay(r.random, attempt)
 }
 
+// backOff takes a retry from the budgets and waits before it. It reports whether
+// another attempt follows.
+func (n *Node) backOff(ctx context.Context, organisation, failed string, attempts int) bool {
+	if !n.retries.allow(organisation, failed) {
+		return false
+	}
+	n.metrics.retries.WithLabelValues(organisation).Inc()
+	pause(ctx, n.retries.delay(attempts))
+	return ctx.Err() == nil
+}
+
 // budget returns a budget, and makes it where there is none.
 func budget(budgets map[string]*retry.Budget, name string) *retry.Budget {
 	b := budgets[name]
