--- a/node/configuration.go
+++ b/node/configuration.go
@@ -44,6 +44,7 @@
 	}
 	c.rules = e.set
 	c.shares.SetRules(e.set)
+	c.recallRollouts()
 	if data, err := json.Marshal(e.head); err == nil {
 		c.gossip.Put(gossip.Entry{Key: keyHead, Version: uint64(e.head.Number), Data: data})
 	}
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -267,10 +268,10 @@
 	})
 }
 
-// failTable makes every call that concerns a table fail.
-func failTable(table string) func(platformfake.Call) platformfake.Fault {
+// failTable makes every call that concerns one of the tables fail.
+func failTable(tables ...string) func(platformfake.Call) platformfake.Fault {
 	return func(c platformfake.Call) platformfake.Fault {
-		if c.Table == table {
+		if slices.Contains(tables, c.Table) {
 			return platformfake.Refuse
 		}
 		return platformfake.None
--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -185,3 +185,26 @@
 		d.is.True(d.ranVersion("small@v2") > 0)
 	})
 }
+
+// TestStopIsKnownWithoutTheTable starts an instance that can read neither the
+// rules nor the states of roll-outs from the table, and hears of a stop before it
+// has the rules.
+func TestStopIsKnownWithoutTheTable(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		d.withRollout(false)
+		d.setFaults("small", enginefake.Faults{FailModel: "small@v2"})
+		for i := range 200 {
+			d.send(request{node: i % 3})
+		}
+		time.Sleep(5 * time.Second)
+		d.platform.SetFaults(failTable(platform.TableRollouts, platform.TableRules))
+		d.kill(d.nodes[0])
+		d.replace(0)
+		time.Sleep(30 * time.Second)
+		before := d.ranVersion("small@v2")
+		for range 200 {
+			d.is.Equal(d.send(request{}).status, 200)
+		}
+		d.is.Equal(d.ranVersion("small@v2"), before)
+	})
+}
--- a/node/rolloutdrive.go
+++ b/node/rolloutdrive.go
@@ -143,6 +143,22 @@
 	c.stateKnown(e.rule, e.state)
 }
 
+// recallRollouts takes everything about roll-outs into account that gossip
+// brought before the rules that declare them.
+func (c *control) recallRollouts() {
+	if len(c.rules.Rollouts) == 0 {
+		return
+	}
+	for key := range c.gossip.Digest() {
+		if !strings.HasPrefix(key, keyRollout) && !strings.HasPrefix(key, keyEvidence) {
+			continue
+		}
+		if e, ok := c.gossip.Get(key); ok {
+			c.learnRollout(e)
+		}
+	}
+}
+
 // learnRollout takes a state or evidence from gossip into account.
 func (c *control) learnRollout(e gossip.Entry) {
 	if c.rules == nil {
