platform, node/exchange, core/place: requests of the platform served end to end

Cause: the product could not run on the platform: no route by host and path, no registrations, no store rows. Change: an adapter (platform/) and one lifecycle for requests that are passed on as they are (node/exchange), placed by core/place, over io/http1.

--- a/cmd/banyanyard/serve.go
+++ b/cmd/banyanyard/serve.go
@@ -7,9 +7,10 @@
 	"os/signal"
 	"syscall"
 
-	"banyanyard/io/platform"
+	table "banyanyard/io/platform"
 	"banyanyard/node"
 	"banyanyard/node/settings"
+	"banyanyard/platform"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -18,16 +19,26 @@
 
 func newServe() *cobra.Command {
 	var file string
+	var onPlatform bool
 	c := &cobra.Command{
-		Use:     "serve --settings FILE",
-		Short:   "Run one entry instance",
-		Long:    "Run one entry instance until SIGTERM or SIGINT, which stop it gracefully.",
+		Use:   "serve {--settings FILE | --platform}",
+		Short: "Run one entry instance",
+		Long: "Run one entry instance until SIGTERM or SIGINT, which stop it gracefully.\n" +
+			"With --platform the platform's settings file is used, which the variable\n" +
+			platform.SettingsVariable + " names.",
 		Example: "  banyanyard serve --settings /etc/banyanyard/settings.toml",
 		Args:    cobra.NoArgs,
-		RunE:    func(c *cobra.Command, _ []string) error { return serve(c.Context(), file) },
+		RunE: func(c *cobra.Command, _ []string) error {
+			if onPlatform {
+				return platform.Serve(c.Context())
+			}
+			return serve(c.Context(), file)
+		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "settings file (required)")
-	_ = c.MarkFlagRequired("settings")
+	c.Flags().StringVar(&file, "settings", "", "settings file")
+	c.Flags().BoolVar(&onPlatform, "platform", false, "use the platform's settings file")
+	c.MarkFlagsOneRequired("settings", "platform")
+	c.MarkFlagsMutuallyExclusive("settings", "platform")
 	return c
 }
 
@@ -44,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	store := &platform.Client{Base: s.Platform.URL, HTTP: &http.Client{}}
+	store := &table.Client{Base: s.Platform.URL, HTTP: &http.Client{}}
 	n, err := node.New(node.Config{Settings: s, SessionKey: key, Store: store, Log: logger})
 	if err != nil {
 		return err
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -79,3 +80,25 @@
 	}
 	return c, nil
 }
+
+// Quiet reports whether an idle connection is open with nothing pending. Bytes
+// that nobody asked for, or an end, mean that it must not be used again.
+// Connections that are no sockets count as quiet.
+func Quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = n <= 0 && errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/node/exchange/observe.go
@@ -0,0 +1,111 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"banyanyard/core/place"
+	"banyanyard/core/refusal"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the counters and histograms of a Router. Use NewMetrics.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	requests *prometheus.HistogramVec // seconds, by organisation and route
+	first    *prometheus.HistogramVec // seconds to the first event, by route
+	attempts *prometheus.CounterVec   // by service and outcome
+	refusals *prometheus.CounterVec   // by kind
+	opened   prometheus.Counter
+}
+
+// latencyBuckets reach from a plain service's call to a long stream.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 1.5, 3, 5, 10, 25}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "banyanyard_request_seconds", Help: "Time from a request's arrival to the end of its answer.", Buckets: latencyBuckets}, []string{"organisation", "route"}),
+		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "banyanyard_first_event_seconds", Help: "Time from a request's arrival to the first event or the answer.", Buckets: latencyBuckets}, []string{"route"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_attempts_total", Help: "Attempts at upstreams by outcome."}, []string{"service", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_refusals_total", Help: "Requests that were not answered, by kind."}, []string{"kind"}),
+		opened:   prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_connections_opened_total", Help: "Connections opened to upstreams."}),
+	}
+	m.Registry.MustRegister(m.requests, m.first, m.attempts, m.refusals, m.opened)
+	return m
+}
+
+// Opened counts a new connection to an upstream.
+func (m *Metrics) Opened() { m.opened.Inc() }
+
+func (e *execution) logAttempt(slot *place.Slot, end ending) {
+	e.router.Metrics.attempts.WithLabelValues(e.request.Service, end.outcome.String()).Inc()
+	line := e.router.Log.Line("attempt").
+		Str("request", e.request.ID).
+		Str("service", e.request.Service).
+		Str("upstream", slot.Upstream.ID).
+		Str("domain", slot.Upstream.Domain).
+		Str("version", slot.Upstream.Version).
+		Int("running", int64(slot.Running)).
+		Bool("cold", slot.Cold).
+		Str("outcome", end.outcome.String()).
+		Int("status", int64(end.status)).
+		Millis("took-ms", end.took)
+	if len(e.models) > 0 {
+		line.Str("model", e.models[e.model]).Bool("escalated", end.escalate)
+	}
+	line.Str("after", e.after).Err(end.err).End()
+}
+
+// settle logs and counts what became of the request.
+func (e *execution) settle(ctx context.Context, err error) {
+	q := e.request
+	now := time.Now()
+	outcome := "answered"
+	var refused *refusal.Error
+	switch {
+	case err == nil && e.failure != nil && !e.begun:
+		outcome = "upstream-failure"
+	case err == nil:
+	case errors.As(err, &refused):
+		outcome = string(refused.Kind)
+		e.router.Metrics.refusals.WithLabelValues(outcome).Inc()
+	case errors.Is(err, ErrBegun):
+		outcome = "cut"
+	case ctx.Err() != nil:
+		outcome = "caller-left"
+	default:
+		outcome = "not-delivered"
+	}
+	e.router.Metrics.requests.WithLabelValues(q.Organisation, q.Route.Name).Observe(now.Sub(q.Arrived).Seconds())
+	line := e.router.Log.Line("request").
+		Str("request", q.ID).
+		Str("organisation", q.Organisation).
+		Str("route", q.Route.Name).
+		Str("kind", q.Route.Kind.String()).
+		Int("config-version", q.Version).
+		Str("outcome", outcome).
+		Int("attempts", int64(e.attempts)).
+		Bool("may-have-run", e.mayRan).
+		Millis("took-ms", now.Sub(q.Arrived)).
+		Millis("left-ms", q.Deadline.Sub(now))
+	if !e.firstAt.IsZero() {
+		e.router.Metrics.first.WithLabelValues(q.Route.Name).Observe(e.firstAt.Sub(q.Arrived).Seconds())
+		line.Millis("first-ms", e.firstAt.Sub(q.Arrived))
+	}
+	line.Err(err).End()
+}
+
+// LogRefusal logs a request that was refused before it was admitted.
+func (r *Router) LogRefusal(id, path string, e *refusal.Error) {
+	r.Metrics.refusals.WithLabelValues(string(e.Kind)).Inc()
+	version := int64(0)
+	if t := r.table.Load(); t != nil {
+		version = t.Version
+	}
+	r.Log.Line("request").Str("request", id).Str("path", path).Int("config-version", version).Str("outcome", string(e.Kind)).Err(e).End()
+}
--- /dev/null
+++ b/node/exchange/router.go
@@ -0,0 +1,143 @@
+package exchange
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"banyanyard/core/place"
+	"banyanyard/core/refusal"
+	"banyanyard/core/retry"
+	"banyanyard/core/routing"
+	"banyanyard/io/jsonlog"
+)
+
+// Bounds are the limits of a deployment that all instances keep together.
+type Bounds struct {
+	RetryShare float64       // repeats for each request to a service
+	RetrySlack float64       // repeats that are allowed beside these
+	RetrySpan  time.Duration // over which both are counted
+}
+
+// A Router answers requests. Use New.
+type Router struct {
+	Transport Transport
+	Log       *jsonlog.Logger
+	Metrics   *Metrics
+	Bounds    Bounds
+
+	table atomic.Pointer[routing.Table]
+
+	mu     sync.Mutex
+	fleet  *place.Fleet            // guarded by mu
+	ratios map[string]*retry.Ratio // guarded by mu; by service
+}
+
+// New returns a router of an instance in a failure domain. Its exported fields
+// must be set before the first request.
+func New(instance, domain string) *Router {
+	return &Router{fleet: place.New(instance, domain), ratios: map[string]*retry.Ratio{}}
+}
+
+// Table returns the routing table in force, or nil.
+func (r *Router) Table() *routing.Table { return r.table.Load() }
+
+// Configure puts a routing table in force unless a newer one is. It reports
+// whether it did.
+func (r *Router) Configure(t *routing.Table) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.table.Load(); old != nil && old.Version >= t.Version {
+		return false
+	}
+	for _, s := range t.Services {
+		r.fleet.SetCold(s.Name, place.Cold{For: s.ColdFor, Rate: s.ColdRate})
+	}
+	r.table.Store(t)
+	return true
+}
+
+// Fleet calls f with the upstreams that the router knows.
+func (r *Router) Fleet(f func(now time.Time, fleet *place.Fleet)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(time.Now(), r.fleet)
+}
+
+// A Match is where a request belongs.
+type Match struct {
+	Table        *routing.Table
+	Route        *routing.Route
+	Organisation *routing.Organisation // nil on public routes
+}
+
+// Match finds the route and the organisation of a request.
+func (r *Router) Match(host, path, key string) (Match, *refusal.Error) {
+	t := r.table.Load()
+	if t == nil {
+		return Match{}, refusal.New(refusal.NotReady, "send the request again after the time in Retry-After", "this instance has no configuration yet").After(time.Second)
+	}
+	m := Match{Table: t, Route: t.Route(host, path)}
+	if m.Route == nil {
+		return m, refusal.New(refusal.ServiceNotFound, "use a path that your operators have configured", "no route of host %q has a prefix of %q", host, path)
+	}
+	if t.Keyed() && !m.Route.Public {
+		m.Organisation = t.Organisation(key)
+		if m.Organisation == nil {
+			return m, refusal.New(refusal.UnknownKey, "send a key that your operators have issued", "the request has no known key")
+		}
+	}
+	return m, nil
+}
+
+// Priority returns the rank of the matched request; 0 is the highest.
+func (m *Match) Priority() int {
+	if m.Organisation != nil && m.Organisation.Ranked {
+		return m.Organisation.Priority
+	}
+	return m.Route.Priority
+}
+
+// ratio returns the retry budget of a service. The caller holds mu.
+func (r *Router) ratio(service string) *retry.Ratio {
+	b := r.ratios[service]
+	if b == nil {
+		b = retry.NewRatio(r.Bounds.RetrySpan, r.Bounds.RetryShare*ratioMargin, 0)
+		r.ratios[service] = b
+	}
+	b.Slack = r.Bounds.RetrySlack * ratioMargin / float64(max(r.fleet.Instances(), minInstances))
+	return b
+}
+
+const (
+	// ratioMargin is the part of the retry bound that is used, since the span
+	// in which repeats arrive differs from the one in which they are counted.
+	ratioMargin = 0.8
+	// minInstances is the least number of instances among which the slack is
+	// divided, since one that has just started doesn't know the others.
+	minInstances = 8
+)
+
+func (r *Router) countRequest(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ratio(service).Request(time.Now())
+}
+
+func (r *Router) spendRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ratio(service).Spend(time.Now())
+}
+
+func (r *Router) pick(n place.Need) (*place.Slot, place.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.Pick(time.Now(), n)
+}
+
+func (r *Router) release(s *place.Slot, o place.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.Release(time.Now(), s, o)
+}
--- /dev/null
+++ b/node/exchange/run.go
@@ -0,0 +1,375 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"banyanyard/core/place"
+	"banyanyard/core/refusal"
+	"banyanyard/io/http1"
+)
+
+const (
+	// maxWholeBytes bounds an answer that is held before it is passed on.
+	maxWholeBytes = 8 << 20
+	// busyPause is the time between looks for an upstream while all are busy.
+	busyPause = 20 * time.Millisecond
+	// queuePart is the part of the latency objective for which a request waits
+	// for an upstream that has room.
+	queuePart = 0.5
+	// headPart is how often the latency objective may pass before an attempt
+	// that can be repeated is given up without an answer.
+	headPart = 2.0
+	// gapPart is how often the longest pause on time may pass before a stream
+	// goes on elsewhere.
+	gapPart = 2.0
+	// retryAfterLeast and retryAfterSpread bound the time that refused callers
+	// are told to wait. It is random, so that they do not return together.
+	retryAfterLeast  = 300 * time.Millisecond
+	retryAfterSpread = 700 * time.Millisecond
+	// minLeft is the least time worth another attempt.
+	minLeft = 20 * time.Millisecond
+)
+
+// An execution is one request while it is answered. It is used by one
+// goroutine.
+type execution struct {
+	router  *Router
+	request *Request
+	out     Output
+
+	models    []string // that may answer, smallest first; empty where the caller names one
+	model     int      // index of the one that is asked
+	attempts  int
+	tried     []string // upstreams that had it
+	mayRan    bool     // an attempt may have run
+	begun     bool     // the caller has got the head of a stream
+	after     string   // newest event that the caller has
+	failure   *failure // newest failure that an upstream reported
+	firstAt   time.Time
+	refusedBy int // attempts that upstreams refused
+}
+
+// A failure is an upstream's own report that it failed.
+type failure struct {
+	head Head
+	body []byte
+}
+
+// errDeadline is the cause of contexts that end with the caller's patience.
+var errDeadline = errors.New("the caller's deadline has passed")
+
+// Run answers a request. The error says what the caller was not given; the
+// caller has been sent nothing unless ErrBegun is among its causes.
+func (r *Router) Run(ctx context.Context, q *Request, out Output) error {
+	e := &execution{router: r, request: q, out: out, after: q.After}
+	if !q.OwnModel {
+		e.models = q.Route.Models
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline, errDeadline)
+	defer cancel()
+	r.countRequest(q.Service)
+	err := e.run(ctx)
+	e.settle(ctx, err)
+	return err
+}
+
+// ErrBegun reports that the caller has been sent a part of an answer that
+// cannot be completed.
+var ErrBegun = errors.New("the answer broke off after it had begun")
+
+func (e *execution) run(ctx context.Context) error {
+	for {
+		slot, err := e.place(ctx)
+		if err != nil {
+			return e.giveUp(err)
+		}
+		end := e.attempt(ctx, slot)
+		e.router.release(slot, end.outcome)
+		e.logAttempt(slot, end)
+		if end.done {
+			return nil
+		}
+		if err := e.again(ctx, slot, end); err != nil {
+			return e.giveUp(err)
+		}
+	}
+}
+
+// An ending is how an attempt ended.
+type ending struct {
+	done     bool // the caller has its answer
+	outcome  place.Outcome
+	notRun   bool // surely
+	err      error
+	escalate bool // a larger model is to answer
+	took     time.Duration
+	status   int
+}
+
+// place finds an upstream, waiting a little while all of them are busy.
+func (e *execution) place(ctx context.Context) (*place.Slot, error) {
+	until := time.Now().Add(time.Duration(queuePart * float64(e.request.Route.Target)))
+	for {
+		slot, verdict := e.router.pick(e.need())
+		if slot != nil {
+			return slot, nil
+		}
+		if verdict == place.None && len(e.tried) > 0 {
+			// Each upstream has had the request; one of them may have it again.
+			e.tried = nil
+			continue
+		}
+		if verdict == place.None || time.Now().After(until) {
+			return nil, e.refuse(verdict)
+		}
+		if err := sleep(ctx, busyPause); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (e *execution) need() place.Need {
+	q := e.request
+	return place.Need{
+		Service: q.Service,
+		Key:     q.Prompt.Key(),
+		Tokens:  q.Prompt.Tokens + q.Prompt.Answer,
+		Avoid:   e.tried,
+	}
+}
+
+func (e *execution) refuse(v place.Verdict) error {
+	kind := refusal.NoUpstream
+	return refusal.New(kind, "send the request again after the time in Retry-After", "service %q has no upstream for it (%s)", e.request.Service, v).After(retryAfter())
+}
+
+func retryAfter() time.Duration {
+	return retryAfterLeast + time.Duration(rand.Int64N(int64(retryAfterSpread)))
+}
+
+// attempt sends the request to one upstream.
+func (e *execution) attempt(ctx context.Context, slot *place.Slot) ending {
+	begin := time.Now()
+	e.attempts++
+	e.tried = append(e.tried, slot.Upstream.ID)
+	a := &Attempt{
+		Request:  e.request,
+		Upstream: slot.Upstream,
+		After:    e.after,
+		Left:     time.Until(e.request.Deadline),
+	}
+	if len(e.models) > 0 {
+		a.Model = e.models[e.model]
+	}
+	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
+		a.HeadTimeout = min(a.Left, time.Duration(headPart*float64(e.request.Route.Target)))
+	}
+	answer, err := e.router.Transport.Send(ctx, a)
+	if err != nil {
+		return e.unanswered(ctx, err, begin)
+	}
+	defer answer.Close()
+	end := e.receive(ctx, answer)
+	end.took = time.Since(begin)
+	end.status = answer.Head().Status
+	return end
+}
+
+// unanswered says what an attempt without an answer means.
+func (e *execution) unanswered(ctx context.Context, err error, begin time.Time) ending {
+	end := ending{outcome: place.Broken, err: err, took: time.Since(begin)}
+	var unreachable *http1.UnreachableError
+	switch {
+	case errors.As(err, &unreachable):
+		end.outcome = place.Unreachable
+		end.notRun = true
+		if ctx.Err() != nil {
+			end.outcome = place.Abandoned
+		}
+	case ctx.Err() != nil:
+		end.outcome = place.Abandoned
+	}
+	return end
+}
+
+// receive takes an answer whose head has arrived.
+func (e *execution) receive(ctx context.Context, answer Answer) ending {
+	head := answer.Head()
+	switch {
+	case head.Misdirected:
+		return ending{outcome: place.Misdirected, notRun: true, err: errors.New("another upstream has the address")}
+	case head.NotRun:
+		return ending{outcome: place.Refused, notRun: true, err: errors.New("the upstream did not run it")}
+	case head.Status >= http.StatusInternalServerError:
+		return e.failed(ctx, answer)
+	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
+		return e.stream(ctx, answer)
+	}
+	body, err := answer.Whole(maxWholeBytes)
+	if err != nil {
+		return e.unread(ctx, err)
+	}
+	e.firstAt = time.Now()
+	return ending{done: true, outcome: place.Answered, err: e.out.Whole(head, body)}
+}
+
+// failed keeps an upstream's report of its failure.
+func (e *execution) failed(ctx context.Context, answer Answer) ending {
+	body, err := answer.Whole(maxWholeBytes)
+	if err != nil {
+		return e.unread(ctx, err)
+	}
+	e.failure = &failure{head: answer.Head(), body: body}
+	return ending{outcome: place.Failed, err: errors.New("the upstream reported a failure")}
+}
+
+func (e *execution) unread(ctx context.Context, err error) ending {
+	if ctx.Err() != nil {
+		return ending{outcome: place.Abandoned, err: err}
+	}
+	return ending{outcome: place.Broken, err: err}
+}
+
+// stream relays events until the stream is complete.
+func (e *execution) stream(ctx context.Context, answer Answer) ending {
+	if e.escalates(answer.Head()) {
+		return ending{outcome: place.Answered, escalate: true, err: errors.New("a larger model is to answer")}
+	}
+	gap := time.Duration(gapPart * float64(e.request.Route.GapTarget))
+	for {
+		event, err := answer.Next(gap)
+		if errors.Is(err, io.EOF) {
+			return e.complete(answer.Head())
+		}
+		if err != nil {
+			return e.unread(ctx, err)
+		}
+		if err := e.deliver(answer.Head(), event); err != nil {
+			return ending{outcome: place.Abandoned, err: err}
+		}
+	}
+}
+
+func (e *execution) deliver(head Head, event Event) error {
+	if !e.begun {
+		if err := e.out.Begin(head); err != nil {
+			return err
+		}
+		e.begun = true
+		e.firstAt = time.Now()
+	}
+	if err := e.out.Event(event.Data); err != nil {
+		return err
+	}
+	if event.ID != "" {
+		e.after = event.ID
+	}
+	return nil
+}
+
+func (e *execution) complete(head Head) ending {
+	if !e.begun {
+		if err := e.out.Begin(head); err != nil {
+			return ending{outcome: place.Abandoned, err: err}
+		}
+		e.begun = true
+	}
+	return ending{done: true, outcome: place.Answered, err: e.out.End()}
+}
+
+// escalates decides whether a larger model answers instead of this one. The
+// caller has received nothing yet.
+func (e *execution) escalates(h Head) bool {
+	if e.begun || e.model >= len(e.models)-1 || h.Confidence < 0 || !e.request.Route.Kind.Repeatable() {
+		return false
+	}
+	if h.Confidence >= confidenceEnough || e.attempts >= e.request.Route.MaxAttempts {
+		return false
+	}
+	return e.router.spendRetry(e.request.Service)
+}
+
+// confidenceEnough is the confidence of a model from which on its answer is
+// delivered.
+const confidenceEnough = 60
+
+// again decides whether another attempt follows.
+func (e *execution) again(ctx context.Context, slot *place.Slot, end ending) error {
+	if !end.notRun {
+		e.mayRan = true
+	}
+	if end.outcome == place.Refused {
+		e.refusedBy++
+	}
+	if end.escalate {
+		e.model = len(e.models) - 1
+		e.tried = nil
+		return nil
+	}
+	kind := e.request.Route.Kind
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case end.outcome == place.Abandoned:
+		return end.err
+	case !end.notRun && !kind.Repeatable():
+		return end.err
+	case e.attempts >= e.request.Route.MaxAttempts && end.outcome != place.Unreachable:
+		return end.err
+	case time.Until(e.request.Deadline) < minLeft:
+		return errDeadline
+	}
+	if end.outcome == place.Unreachable {
+		// Nothing arrived at an upstream.
+		e.attempts--
+		return nil
+	}
+	if !e.router.spendRetry(e.request.Service) {
+		return end.err
+	}
+	_ = slot
+	return nil
+}
+
+// giveUp returns what the caller is told. It passes on an upstream's own
+// failure where there is one.
+func (e *execution) giveUp(err error) error {
+	if e.begun {
+		return errors.Join(ErrBegun, err)
+	}
+	if errors.Is(err, context.Canceled) {
+		return err
+	}
+	if e.failure != nil {
+		return e.out.Whole(e.failure.head, e.failure.body)
+	}
+	late := errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded)
+	if !e.mayRan {
+		var refused *refusal.Error
+		if errors.As(err, &refused) {
+			return refused
+		}
+		return refusal.New(refusal.NoUpstream, "send the request again after the time in Retry-After", "no upstream of %q took it (%v)", e.request.Service, err).After(retryAfter())
+	}
+	kind := refusal.UpstreamFailed
+	if late {
+		kind = refusal.DeadlineExceeded
+	}
+	return refusal.New(kind, "find out whether the request took effect before you send it again", "no upstream of %q answered (%v)", e.request.Service, err).Ran()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
