core/trial, node/mesh, platform: roll-outs by evidence, instances joined by a mesh

Cause: a service's old and new versions shared its requests from the first moment; nobody recorded the end of a roll-out, and 18 requests left their session's version. Change: core/trial decides by session, evidence and time; node/mesh (core/member, core/gossip, io/peer) spreads evidence, stops and the store's rows; the record of an order is written under a condition, by whichever instance comes first.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -72,14 +72,33 @@
 	return 0
 }
 
-// Put takes an entry and reports whether it was newer than the one held.
+// Put takes an entry and reports whether it was newer than the one held. The
+// entry travels with the next messages.
 func (s *Store) Put(e Entry) bool {
+	h := s.hold(e)
+	if h == nil {
+		return false
+	}
+	h.sent = 0
+	if !h.active {
+		h.active = true
+		s.active = append(s.active, h)
+	}
+	return true
+}
+
+// Hold takes an entry that others are told only when they compare digests. It
+// reports whether it was newer than the one held.
+func (s *Store) Hold(e Entry) bool { return s.hold(e) != nil }
+
+// hold returns nil when the entry is not newer than the one held.
+func (s *Store) hold(e Entry) *held {
 	if s.entries == nil {
 		s.entries = map[string]*held{}
 	}
 	h := s.entries[e.Key]
 	if h != nil && !newer(&e, &h.Entry) {
-		return false
+		return nil
 	}
 	if h == nil {
 		h = &held{urgent: s.Urgent != nil && s.Urgent(e.Key)}
@@ -88,13 +107,8 @@
 		s.sum -= hash(&h.Entry)
 	}
 	h.Entry = e
-	h.sent = 0
 	s.sum += hash(&e)
-	if !h.active {
-		h.active = true
-		s.active = append(s.active, h)
-	}
-	return true
+	return h
 }
 
 // Get returns the entry of a key.
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// Len returns the number of upstreams that are known.
+func (f *Fleet) Len() int { return len(f.byID) }
+
 // Instances returns how many instances share the upstreams.
 func (f *Fleet) Instances() int { return len(f.instances) }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -30,6 +30,7 @@
 type Exchange struct {
 	From    Status         `json:"from"`
 	Entries []gossip.Entry `json:"entries,omitempty"`
+	Rows    uint64         `json:"rows,omitempty"` // identifies the copy of the store's rows
 }
 
 // A Status is a member.Status in messages.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,12 +10,18 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// A Handler answers the calls of other instances. Its methods are called from
-// many goroutines.
-type Handler interface {
+// A Gossiper answers the calls by which instances find each other and pass news
+// on. Its methods are called from many goroutines.
+type Gossiper interface {
 	Exchange(ctx context.Context, e Exchange) (Exchange, error)
 	Probe(ctx context.Context, p Probe) (ProbeResult, error)
 	Sync(ctx context.Context, s Sync) (SyncResult, error)
+}
+
+// A Handler answers all calls of other instances. Its methods are called from
+// many goroutines.
+type Handler interface {
+	Gossiper
 	Rules(ctx context.Context, q RulesQuery) (RulesResult, error)
 	Hold(ctx context.Context, h Hold) (Done, error)
 	Release(ctx context.Context, r Release) (Done, error)
@@ -24,12 +30,12 @@
 }
 
 // A method decodes its parameters and calls the handler.
-type method func(ctx context.Context, h Handler, params json.RawMessage) (any, error)
+type method func(ctx context.Context, h Gossiper, params json.RawMessage) (any, error)
 
 var methods = map[string]method{
-	methodExchange: bind(Handler.Exchange),
-	methodProbe:    bind(Handler.Probe),
-	methodSync:     bind(Handler.Sync),
+	methodExchange: bind(Gossiper.Exchange),
+	methodProbe:    bind(Gossiper.Probe),
+	methodSync:     bind(Gossiper.Sync),
 	methodRules:    bind(Handler.Rules),
 	methodHold:     bind(Handler.Hold),
 	methodRelease:  bind(Handler.Release),
@@ -37,8 +43,13 @@
 	methodInherit:  bind(Handler.Inherit),
 }
 
-func bind[P, R any](f func(Handler, context.Context, P) (R, error)) method {
-	return func(ctx context.Context, h Handler, params json.RawMessage) (any, error) {
+// bind returns a method that the handler has when it is an H.
+func bind[H Gossiper, P, R any](f func(H, context.Context, P) (R, error)) method {
+	return func(ctx context.Context, g Gossiper, params json.RawMessage) (any, error) {
+		h, ok := g.(H)
+		if !ok {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this instance does not offer the method"}
+		}
 		var p P
 		if err := json.Unmarshal(params, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
@@ -49,15 +60,16 @@
 
 // A Server answers other instances.
 type Server struct {
-	handler Handler
+	handler Gossiper
 	traffic *Traffic
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]bool // guarded by mu
 }
 
-// NewServer returns a server that counts its bytes in traffic.
-func NewServer(h Handler, traffic *Traffic) *Server {
+// NewServer returns a server that counts its bytes in traffic. It offers the
+// methods of Handler when h is one.
+func NewServer(h Gossiper, traffic *Traffic) *Server {
 	return &Server{handler: h, traffic: traffic, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
--- /dev/null
+++ b/node/exchange/duty.go
@@ -0,0 +1,248 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/core/place"
+	"banyanyard/core/trial"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// dutyInterval is the time between looks at the trials.
+	dutyInterval = 250 * time.Millisecond
+	// reportEvery is the number of looks between two reports of evidence.
+	reportEvery = 2
+	// rankDelay is how much longer each further instance waits before it does
+	// what the one before it should have done.
+	rankDelay = 600 * time.Millisecond
+	// recordTimeout bounds the writing of a record.
+	recordTimeout = 800 * time.Millisecond
+	// evidencePrefix begins the keys of reports.
+	evidencePrefix = "evidence/"
+	// stopPrefix begins the keys of stops.
+	stopPrefix = "stop/"
+)
+
+// A Record is what the store keeps of an order.
+type Record struct {
+	State    trial.State
+	To       string
+	Revision uint64 // of the order
+	Version  uint64 // of the record; 0 when there is none
+}
+
+// Records keeps the state of orders.
+type Records interface {
+	// Write replaces the record of a service if it still has the version.
+	Write(ctx context.Context, service string, r Record) error
+}
+
+// A Spreader passes entries on to the other instances.
+type Spreader interface {
+	Publish(ctx context.Context, e gossip.Entry, urgent bool)
+}
+
+// A Duty drives the trials of a router together with other instances. All
+// instances do the same; conditions on the store's rows keep them apart.
+type Duty struct {
+	Router   *Router
+	Records  Records
+	Spreader Spreader
+	Instance string
+
+	members []member.Status   // guarded by Router.mu
+	records map[string]Record // guarded by Router.mu; by service
+	sent    uint64            // reports so far
+	due     map[string]time.Time
+}
+
+// Members replaces the instances that may be running.
+func (d *Duty) Members(all []member.Status) {
+	names := make([]string, 0, len(all))
+	for _, m := range all {
+		if m.State != member.Gone && !slices.Contains(names, m.Instance) {
+			names = append(names, m.Instance)
+		}
+	}
+	r := d.Router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.members = all
+	r.fleet.SetInstances(names)
+}
+
+// Record takes the record of a service as the store has it.
+func (d *Duty) Record(service string, record Record) {
+	d.Router.mu.Lock()
+	if d.records == nil {
+		d.records = map[string]Record{}
+	}
+	if d.records[service].Version < record.Version {
+		d.records[service] = record
+	}
+	d.Router.mu.Unlock()
+	d.Router.Settle(service, record.Revision, record.State, "the store's record")
+}
+
+// Settled applies the record of a service to an order that was heard after it.
+func (d *Duty) Settled(service string) {
+	d.Router.mu.Lock()
+	record := d.records[service]
+	d.Router.mu.Unlock()
+	d.Router.Settle(service, record.Revision, record.State, "the store's record")
+}
+
+// News takes an entry of another instance.
+func (d *Duty) News(e gossip.Entry) {
+	if rest, ok := strings.CutPrefix(e.Key, evidencePrefix); ok {
+		instance, service, _ := strings.Cut(rest, "/")
+		var report trial.Report
+		if err := json.Unmarshal(e.Data, &report); err != nil {
+			d.Router.Log.Line("news-rejected").Str("key", e.Key).Err(err).End()
+			return
+		}
+		d.Router.LearnReport(instance, service, report)
+		return
+	}
+	if service, ok := strings.CutPrefix(e.Key, stopPrefix); ok {
+		d.Router.Settle(service, e.Version, trial.Stopped, "another instance stopped it")
+	}
+}
+
+// Run looks at the trials until the context ends.
+func (d *Duty) Run(ctx context.Context) {
+	d.due = map[string]time.Time{}
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for looks := 0; ; looks++ {
+		select {
+		case <-ticker.C:
+		case <-d.Router.stopped:
+		case <-ctx.Done():
+			return
+		}
+		for _, v := range d.look(time.Now()) {
+			d.spread(ctx, v, looks%reportEvery == 0)
+			d.write(ctx, v)
+		}
+	}
+}
+
+// A view is what a look at a trial has found.
+type view struct {
+	order  trial.Order
+	state  trial.State
+	report trial.Report
+	record Record
+	want   trial.State // that the record should have
+	rank   int         // of this instance among those that may write it
+}
+
+func (d *Duty) look(now time.Time) []view {
+	r := d.Router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := d.running()
+	var views []view
+	for service, t := range r.trials {
+		old := r.fleet.Running(service, func(version string) bool { return version != t.Order.To })
+		v := view{order: t.Order, report: t.Report(now, old), record: d.records[service]}
+		v.state, _ = t.State()
+		v.want = v.state
+		if v.state == trial.Running && (t.Clear(now, old, others) || t.Late(now) && t.AllMoved(now, others)) {
+			v.want = trial.Completed
+		}
+		v.rank = d.rank(service, others)
+		views = append(views, v)
+	}
+	return views
+}
+
+// running returns the names of the other instances that are not known to be
+// gone. The caller holds Router.mu.
+func (d *Duty) running() []string {
+	var names []string
+	for _, m := range d.members {
+		if m.State != member.Gone && m.Instance != d.Instance {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
+}
+
+// rank orders the instances that may do the duty for a service.
+func (d *Duty) rank(service string, others []string) int {
+	own := xxhash.Sum64String(service + "\x00" + d.Instance)
+	rank := 0
+	for _, name := range others {
+		if xxhash.Sum64String(service+"\x00"+name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// spread tells the others what this instance has seen.
+func (d *Duty) spread(ctx context.Context, v view, report bool) {
+	if v.state == trial.Stopped && v.record.State != trial.Stopped {
+		d.Spreader.Publish(ctx, gossip.Entry{Key: stopPrefix + v.order.Service, Version: v.order.Revision}, true)
+	}
+	if !report || v.state != trial.Running {
+		return
+	}
+	data, err := json.Marshal(v.report)
+	if err != nil {
+		d.Router.Log.Line("report-not-sent").Str("service", v.order.Service).Err(err).End()
+		return
+	}
+	d.sent++
+	key := evidencePrefix + d.Instance + "/" + v.order.Service
+	d.Spreader.Publish(ctx, gossip.Entry{Key: key, Version: uint64(time.Now().UnixNano()), Data: data}, v.report.OldRunning >= 0)
+}
+
+// write makes the store's record say what this instance knows. Instances of a
+// higher rank wait for those before them.
+func (d *Duty) write(ctx context.Context, v view) {
+	key := v.order.Service
+	if v.record.Revision == v.order.Revision && v.record.State == v.want && v.record.Version > 0 {
+		delete(d.due, key)
+		return
+	}
+	if v.record.Revision == v.order.Revision && v.record.State != trial.Running && v.record.Version > 0 {
+		return // a record that is settled stays
+	}
+	now := time.Now()
+	due, ok := d.due[key]
+	if !ok {
+		due = now.Add(time.Duration(v.rank) * rankDelay)
+		d.due[key] = due
+	}
+	if now.Before(due) {
+		return
+	}
+	d.due[key] = now.Add(rankDelay)
+	record := Record{State: v.want, To: v.order.To, Revision: v.order.Revision, Version: v.record.Version}
+	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := d.Records.Write(callCtx, v.order.Service, record)
+	d.Router.Log.Line("rollout-record").Str("service", v.order.Service).Str("to", v.order.To).Int("version", int64(v.order.Revision)).
+		Str("state", v.want.String()).Int("record-version", int64(v.record.Version)).Int("rank", int64(v.rank)).Err(err).End()
+	if err == nil && v.want != v.state {
+		d.Router.Settle(v.order.Service, v.order.Revision, v.want, "recorded by this instance")
+	}
+}
+
+// Upstreams returns how many upstreams are known.
+func (r *Router) Upstreams() int {
+	n := 0
+	r.Fleet(func(_ time.Time, f *place.Fleet) { n = f.Len() })
+	return n
+}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -9,6 +9,7 @@
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
 	"banyanyard/core/routing"
+	"banyanyard/core/trial"
 	"banyanyard/io/jsonlog"
 )
 
@@ -17,6 +18,7 @@
 	RetryShare float64       // repeats for each request to a service
 	RetrySlack float64       // repeats that are allowed beside these
 	RetrySpan  time.Duration // over which both are counted
+	Trial      trial.Bounds
 }
 
 // A Router answers requests. Use New.
@@ -31,12 +33,24 @@
 	mu     sync.Mutex
 	fleet  *place.Fleet            // guarded by mu
 	ratios map[string]*retry.Ratio // guarded by mu; by service
+	trials map[string]*trial.Trial // guarded by mu; by service
+	// sessions holds when each session was seen last. Guarded by mu.
+	sessions map[string]time.Time
+	// stopped is told of services whose trial has stopped here. Capacity 1; a
+	// full channel means that a look is due anyway.
+	stopped chan struct{}
 }
 
 // New returns a router of an instance in a failure domain. Its exported fields
 // must be set before the first request.
 func New(instance, domain string) *Router {
-	return &Router{fleet: place.New(instance, domain), ratios: map[string]*retry.Ratio{}}
+	return &Router{
+		fleet:    place.New(instance, domain),
+		ratios:   map[string]*retry.Ratio{},
+		trials:   map[string]*trial.Trial{},
+		sessions: map[string]time.Time{},
+		stopped:  make(chan struct{}, 1),
+	}
 }
 
 // Table returns the routing table in force, or nil.
@@ -129,15 +143,3 @@
 	defer r.mu.Unlock()
 	return r.ratio(service).Spend(time.Now())
 }
-
-func (r *Router) pick(n place.Need) (*place.Slot, place.Verdict) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fleet.Pick(time.Now(), n)
-}
-
-func (r *Router) release(s *place.Slot, o place.Outcome) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fleet.Release(time.Now(), s, o)
-}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -42,16 +42,16 @@
 	request *Request
 	out     Output
 
-	models    []string // that may answer, smallest first; empty where the caller names one
-	model     int      // index of the one that is asked
-	attempts  int
-	tried     []string // upstreams that had it
-	mayRan    bool     // an attempt may have run
-	begun     bool     // the caller has got the head of a stream
-	after     string   // newest event that the caller has
-	failure   *failure // newest failure that an upstream reported
-	firstAt   time.Time
-	refusedBy int // attempts that upstreams refused
+	models   []string // that may answer, smallest first; empty where the caller names one
+	model    int      // index of the one that is asked
+	attempts int
+	tried    []string // upstreams that had it
+	mayRan   bool     // an attempt may have run
+	begun    bool     // the caller has got the head of a stream
+	after    string   // newest event that the caller has
+	failure  *failure // newest failure that an upstream reported
+	firstAt  time.Time
+	choice   choice
 }
 
 // A failure is an upstream's own report that it failed.
@@ -89,12 +89,12 @@
 			return e.giveUp(err)
 		}
 		end := e.attempt(ctx, slot)
-		e.router.release(slot, end.outcome)
+		e.router.release(e.request, slot, end, e.kind(), &e.choice)
 		e.logAttempt(slot, end)
 		if end.done {
 			return nil
 		}
-		if err := e.again(ctx, slot, end); err != nil {
+		if err := e.again(ctx, end); err != nil {
 			return e.giveUp(err)
 		}
 	}
@@ -108,6 +108,7 @@
 	err      error
 	escalate bool // a larger model is to answer
 	took     time.Duration
+	first    time.Duration // until the first event or the answer; 0 when there was none
 	status   int
 }
 
@@ -115,7 +116,7 @@
 func (e *execution) place(ctx context.Context) (*place.Slot, error) {
 	until := time.Now().Add(time.Duration(queuePart * float64(e.request.Route.Target)))
 	for {
-		slot, verdict := e.router.pick(e.need())
+		slot, verdict := e.router.pick(e.request, e.need(), &e.choice)
 		if slot != nil {
 			return slot, nil
 		}
@@ -133,6 +134,14 @@
 	}
 }
 
+// kind names the requests whose latency and failures are alike.
+func (e *execution) kind() string {
+	if len(e.models) == 0 {
+		return e.request.Route.Name
+	}
+	return e.request.Route.Name + "/" + e.models[e.model]
+}
+
 func (e *execution) need() place.Need {
 	q := e.request
 	return place.Need{
@@ -174,9 +183,13 @@
 		return e.unanswered(ctx, err, begin)
 	}
 	defer answer.Close()
+	head := time.Since(begin)
 	end := e.receive(ctx, answer)
 	end.took = time.Since(begin)
 	end.status = answer.Head().Status
+	if end.outcome == place.Answered {
+		end.first = head
+	}
 	return end
 }
 
@@ -299,13 +312,10 @@
 const confidenceEnough = 60
 
 // again decides whether another attempt follows.
-func (e *execution) again(ctx context.Context, slot *place.Slot, end ending) error {
+func (e *execution) again(ctx context.Context, end ending) error {
 	if !end.notRun {
 		e.mayRan = true
 	}
-	if end.outcome == place.Refused {
-		e.refusedBy++
-	}
 	if end.escalate {
 		e.model = len(e.models) - 1
 		e.tried = nil
@@ -332,7 +342,6 @@
 	if !e.router.spendRetry(e.request.Service) {
 		return end.err
 	}
-	_ = slot
 	return nil
 }
 
--- /dev/null
+++ b/node/exchange/trials.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"time"
+
+	"banyanyard/core/place"
+	"banyanyard/core/trial"
+)
+
+// Order takes the order to move a service to a version, unless it is known.
+func (r *Router) Order(o trial.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[o.Service]; t != nil && t.Order.Revision >= o.Revision {
+		return
+	}
+	now := time.Now()
+	t := trial.New(now, o, r.Bounds.Trial)
+	for session, at := range r.sessions {
+		t.See(session, at)
+	}
+	r.trials[o.Service] = t
+	r.Log.Line("rollout").Str("service", o.Service).Str("to", o.To).Int("version", int64(o.Revision)).
+		Millis("duration-ms", o.Duration).Str("state", trial.Running.String()).End()
+}
+
+// Withdraw ends the trial of an order that was taken back.
+func (r *Router) Withdraw(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.trials, service)
+}
+
+// Settle takes the state of an order that others have found.
+func (r *Router) Settle(service string, revision uint64, s trial.State, why string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.trials[service]
+	if t == nil || t.Order.Revision != revision || !t.Settle(s, why) {
+		return
+	}
+	r.logTrial(t, "told")
+}
+
+// LearnReport takes the evidence of another instance into account.
+func (r *Router) LearnReport(instance, service string, report trial.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[service]; t != nil && t.Learn(time.Now(), instance, report) {
+		r.trialStopped(t)
+	}
+}
+
+func (r *Router) logTrial(t *trial.Trial, source string) {
+	state, why := t.State()
+	r.Log.Line("rollout").Str("service", t.Order.Service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
+		Str("state", state.String()).Str("why", why).Str("source", source).Millis("age-ms", time.Since(t.Begun())).End()
+}
+
+// trialStopped passes on that the evidence has stopped a trial. The caller
+// holds mu.
+func (r *Router) trialStopped(t *trial.Trial) {
+	r.logTrial(t, "evidence")
+	select {
+	case r.stopped <- struct{}{}:
+	default:
+	}
+}
+
+// A choice is the version that a request was given.
+type choice struct {
+	made  bool
+	toNew bool
+}
+
+// pick chooses an upstream of a version that the request may have.
+func (r *Router) pick(q *Request, n place.Need, c *choice) (*place.Slot, place.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if q.Session != "" {
+		r.sessions[q.Session] = now
+	}
+	t := r.trials[q.Service]
+	if t == nil {
+		return r.fleet.Pick(now, n)
+	}
+	state, _ := t.State()
+	switch {
+	case state == trial.Stopped:
+		c.toNew = false
+	case t.Moved(now):
+		c.toNew = true
+	case !c.made:
+		c.toNew = t.Choose(now, q.Session, q.ID)
+	}
+	c.made = true
+	slot, verdict := r.pickVersion(now, n, t, c.toNew)
+	if verdict == place.None && state == trial.Running {
+		slot, verdict = r.pickVersion(now, n, t, !c.toNew)
+	}
+	if slot != nil {
+		t.Sent(slot.Upstream.Version == t.Order.To)
+	}
+	return slot, verdict
+}
+
+func (r *Router) pickVersion(now time.Time, n place.Need, t *trial.Trial, toNew bool) (*place.Slot, place.Verdict) {
+	n.Accepts = func(version string) bool { return (version == t.Order.To) == toNew }
+	return r.fleet.Pick(now, n)
+}
+
+// release ends an attempt and learns from its outcome.
+func (r *Router) release(q *Request, s *place.Slot, end ending, kind string, c *choice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.Release(time.Now(), s, end.outcome)
+	t := r.trials[q.Service]
+	if t == nil || end.notRun || end.outcome == place.Abandoned {
+		return
+	}
+	o := trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: kind, Latency: end.first}
+	o.Failed = end.outcome == place.Failed || end.outcome == place.Broken
+	if o.Failed && o.New {
+		// The next attempt goes to the version that is known to work.
+		c.toNew = false
+	}
+	if t.Note(o) {
+		r.trialStopped(t)
+	}
+}
+
+// sessionMemory is how long a session is remembered after its last request.
+const sessionMemory = 30 * time.Second
+
+// Sweep forgets what is over.
+func (r *Router) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.fleet.Sweep(now)
+	for _, t := range r.trials {
+		t.Sweep(now)
+	}
+	for id, at := range r.sessions {
+		if now.Sub(at) > sessionMemory {
+			delete(r.sessions, id)
+		}
+	}
+}
--- /dev/null
+++ b/node/mesh/peers.go
@@ -0,0 +1,169 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/io/peer"
+)
+
+// memberPrefix begins the keys of news about members.
+const memberPrefix = "member/"
+
+// syncTimeout bounds a comparison of rows with another instance.
+const syncTimeout = 2 * time.Second
+
+func memberEntry(s member.Status) gossip.Entry {
+	data, err := json.Marshal(peer.NewStatus(s))
+	if err != nil {
+		panic(err) // a struct of strings and numbers
+	}
+	return gossip.Entry{Key: memberPrefix + s.ID, Version: s.Version(), Data: data}
+}
+
+// learn takes one entry of another instance into account.
+func (s *state) learn(now time.Time, e gossip.Entry) {
+	if strings.HasPrefix(e.Key, memberPrefix) {
+		var status peer.Status
+		if err := json.Unmarshal(e.Data, &status); err != nil {
+			s.mesh.log.Line("news-rejected").Str("key", e.Key).Err(err).End()
+			return
+		}
+		s.detector.Merge(now, status.Member())
+		return
+	}
+	if s.news.Put(e) {
+		s.mesh.listener.News(e)
+	}
+}
+
+func (s *state) learnRows(entries []gossip.Entry) {
+	for _, e := range entries {
+		if s.rows.Hold(e) {
+			s.rowsChanged = time.Now()
+			s.mesh.listener.Row(e)
+		}
+	}
+}
+
+// probe sends a message and reports what came of it to the goroutine.
+func (m *Mesh) probe(ctx context.Context, a member.Action, e peer.Exchange) {
+	if len(a.Via) > 0 {
+		for _, via := range a.Via {
+			go m.probeVia(ctx, a, via)
+		}
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
+	defer cancel()
+	answer, err := m.client.Exchange(callCtx, a.Address, e)
+	m.do(ctx, func(s *state) {
+		now := time.Now()
+		if err != nil {
+			s.detector.Failed(now, a.ID)
+			return
+		}
+		s.heard(now, answer)
+	})
+}
+
+func (m *Mesh) probeVia(ctx context.Context, a member.Action, via string) {
+	callCtx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
+	defer cancel()
+	result, err := m.client.Probe(callCtx, via, peer.Probe{Address: a.Address, ID: a.ID})
+	if err == nil && result.From != nil {
+		m.do(ctx, func(s *state) { s.detector.Answered(time.Now(), result.From.Member()) })
+	}
+}
+
+// syncRows compares the rows with another instance, and takes and gives what is
+// missing on either side.
+func (m *Mesh) syncRows(ctx context.Context, address string) {
+	err := m.compareRows(ctx, address)
+	m.do(ctx, func(s *state) { s.syncing = false })
+	if err != nil && ctx.Err() == nil {
+		m.log.Line("rows-not-compared").Str("address", address).Err(err).End()
+	}
+}
+
+func (m *Mesh) compareRows(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	digest, err := ask(ctx, m, func(s *state) map[string]uint64 { return s.rows.Digest() })
+	if err != nil {
+		return err
+	}
+	if len(digest) == 0 {
+		digest[""] = 0 // an empty digest would count as none
+	}
+	theirs, err := m.client.Sync(ctx, address, peer.Sync{Digest: digest})
+	if err != nil {
+		return err
+	}
+	wanted, err := ask(ctx, m, func(s *state) []gossip.Entry {
+		s.learnRows(theirs.Entries)
+		return s.held(theirs.Wanted)
+	})
+	if err != nil || len(wanted) == 0 {
+		return err
+	}
+	_, err = m.client.Sync(ctx, address, peer.Sync{Entries: wanted})
+	return err
+}
+
+func (s *state) held(keys []string) []gossip.Entry {
+	var entries []gossip.Entry
+	for _, key := range keys {
+		if e, ok := s.rows.Get(key); ok {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// A handler implements peer.Gossiper.
+type handler struct{ *Mesh }
+
+// Exchange implements peer.Gossiper.
+func (h handler) Exchange(ctx context.Context, e peer.Exchange) (peer.Exchange, error) {
+	return ask(ctx, h.Mesh, func(s *state) peer.Exchange {
+		// What this instance doubts is read before the probe itself counts as a
+		// sign of life.
+		answer := s.message(e.From.ID)
+		s.heard(time.Now(), e)
+		answer.From = peer.NewStatus(s.detector.Self())
+		return answer
+	})
+}
+
+// Probe implements peer.Gossiper.
+func (h handler) Probe(ctx context.Context, p peer.Probe) (peer.ProbeResult, error) {
+	message, err := ask(ctx, h.Mesh, func(s *state) peer.Exchange { return s.message(p.ID) })
+	if err != nil {
+		return peer.ProbeResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
+	defer cancel()
+	answer, err := h.client.Exchange(ctx, p.Address, message)
+	if err != nil {
+		// That nothing answers is the result, not a failure of this call.
+		return peer.ProbeResult{}, nil
+	}
+	return peer.ProbeResult{From: &answer.From}, nil
+}
+
+// Sync implements peer.Gossiper. It compares rows.
+func (h handler) Sync(ctx context.Context, q peer.Sync) (peer.SyncResult, error) {
+	return ask(ctx, h.Mesh, func(s *state) peer.SyncResult {
+		s.learnRows(q.Entries)
+		result := peer.SyncResult{Sum: s.rows.Sum()}
+		if q.Digest != nil {
+			result.Entries, result.Wanted = s.rows.Compare(q.Digest)
+		}
+		return result
+	})
+}
