--- a/core/retry/ratio.go
+++ b/core/retry/ratio.go
@@ -17,9 +17,9 @@
 	repeats  window.Counter
 }
 
-// NewRatio returns a ratio over the span.
-func NewRatio(span time.Duration, share, slack float64) *Ratio {
-	return &Ratio{Share: share, Slack: slack, requests: window.Counter{Span: span}, repeats: window.Counter{Span: span}}
+// NewRatio returns a ratio over the span that allows no repeat yet.
+func NewRatio(span time.Duration) *Ratio {
+	return &Ratio{requests: window.Counter{Span: span}, repeats: window.Counter{Span: span}}
 }
 
 // Request counts a request.
--- a/core/window/window.go
+++ b/core/window/window.go
@@ -13,7 +13,8 @@
 	Span time.Duration
 
 	counts [buckets + 1]float64
-	newest int64 // number of the newest bucket
+	begin  time.Time // of the first use; steps of the time of day don't matter
+	newest int64     // number of the newest bucket, counted from begin
 	sum    float64
 }
 
@@ -32,7 +33,10 @@
 }
 
 func (c *Counter) advance(now time.Time) {
-	number := now.UnixNano() / int64(c.Span/buckets)
+	if c.begin.IsZero() {
+		c.begin = now
+	}
+	number := int64(now.Sub(c.begin) / (c.Span / buckets))
 	if number-c.newest > buckets {
 		c.counts = [buckets + 1]float64{}
 		c.newest = number
--- a/node/exchange/duty.go
+++ b/node/exchange/duty.go
@@ -60,7 +60,7 @@
 
 	members []member.Status   // guarded by Router.mu
 	records map[string]Record // guarded by Router.mu; by service
-	sent    uint64            // reports so far
+	begin   time.Time         // of Run
 	due     map[string]time.Time
 }
 
@@ -120,6 +120,7 @@
 // Run looks at the trials until the context ends.
 func (d *Duty) Run(ctx context.Context) {
 	d.due = map[string]time.Time{}
+	d.begin = time.Now()
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for looks := 0; ; looks++ {
@@ -203,9 +204,11 @@
 		d.Router.Log.Line("report-not-sent").Str("service", v.order.Service).Err(err).End()
 		return
 	}
-	d.sent++
+	// The version grows with the steady clock, and beyond that of an earlier
+	// start.
+	version := uint64(d.begin.Add(time.Since(d.begin)).UnixNano())
 	key := evidencePrefix + d.Instance + "/" + v.order.Service
-	d.Spreader.Publish(ctx, gossip.Entry{Key: key, Version: uint64(time.Now().UnixNano()), Data: data}, v.report.OldRunning >= 0)
+	d.Spreader.Publish(ctx, gossip.Entry{Key: key, Version: version, Data: data}, v.report.OldRunning >= 0)
 }
 
 // write makes the store's record say what this instance knows. Instances of a
--- a/node/exchange/observe.go
+++ b/node/exchange/observe.go
@@ -71,11 +71,11 @@
 	case err == nil && e.failure != nil && !e.begun:
 		outcome = "upstream-failure"
 	case err == nil:
+	case errors.Is(err, ErrBegun):
+		outcome = "cut"
 	case errors.As(err, &refused):
 		outcome = string(refused.Kind)
 		e.router.Metrics.refusals.WithLabelValues(outcome).Inc()
-	case errors.Is(err, ErrBegun):
-		outcome = "cut"
 	case ctx.Err() != nil:
 		outcome = "caller-left"
 	default:
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -26,7 +26,7 @@
 	Transport Transport
 	Log       *jsonlog.Logger
 	Metrics   *Metrics
-	Bounds    Bounds
+	Bounds    Bounds // guarded by mu once requests are answered
 
 	table atomic.Pointer[routing.Table]
 
@@ -53,6 +53,13 @@
 	}
 }
 
+// SetBounds replaces the limits while requests are answered.
+func (r *Router) SetBounds(b Bounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Bounds = b
+}
+
 // Table returns the routing table in force, or nil.
 func (r *Router) Table() *routing.Table { return r.table.Load() }
 
@@ -116,9 +123,10 @@
 func (r *Router) ratio(service string) *retry.Ratio {
 	b := r.ratios[service]
 	if b == nil {
-		b = retry.NewRatio(r.Bounds.RetrySpan, r.Bounds.RetryShare*ratioMargin, 0)
+		b = retry.NewRatio(r.Bounds.RetrySpan)
 		r.ratios[service] = b
 	}
+	b.Share = r.Bounds.RetryShare * ratioMargin
 	b.Slack = r.Bounds.RetrySlack * ratioMargin / float64(max(r.fleet.Instances(), minInstances))
 	return b
 }
