core/cascade, node/exchange: larger models by confidence, time left and strain

Ruled out: the rate of cold upstreams (no request was refused for it), retry budget (not reached). Change: core/cascade.Ladder follows first latencies in objectives; it lowers the confidence that is asked for as they rise, and does not ask a larger model that would be late. The time to give an attempt up follows the average.

--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"banyanyard/core/cascade"
 	"banyanyard/core/place"
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
@@ -34,6 +35,8 @@
 	fleet  *place.Fleet            // guarded by mu
 	ratios map[string]*retry.Ratio // guarded by mu; by service
 	trials map[string]*trial.Trial // guarded by mu; by service
+	// ladders decide which model answers. Guarded by mu; by service.
+	ladders map[string]*cascade.Ladder
 	// sessions holds when each session was seen last. Guarded by mu.
 	sessions map[string]time.Time
 	// stopped is told of services whose trial has stopped here. Capacity 1; a
@@ -48,6 +51,7 @@
 		fleet:    place.New(instance, domain),
 		ratios:   map[string]*retry.Ratio{},
 		trials:   map[string]*trial.Trial{},
+		ladders:  map[string]*cascade.Ladder{},
 		sessions: map[string]time.Time{},
 		stopped:  make(chan struct{}, 1),
 	}
@@ -151,3 +155,29 @@
 	defer r.mu.Unlock()
 	return r.ratio(service).Spend(time.Now())
 }
+
+// ladder returns the cascade of a service. The caller holds mu.
+func (r *Router) ladder(service string) *cascade.Ladder {
+	l := r.ladders[service]
+	if l == nil {
+		l = &cascade.Ladder{}
+		r.ladders[service] = l
+	}
+	return l
+}
+
+// escalate decides whether a larger model is asked, and takes the attempt from
+// the retry budget.
+func (r *Router) escalate(service string, q cascade.Question) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ladder(service).Escalate(q) && r.ratio(service).Spend(time.Now())
+}
+
+// headTimeout returns how long an attempt of a kind may take to its first
+// answer before it is tried elsewhere.
+func (r *Router) headTimeout(service, kind string, target time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(time.Duration(headPart*float64(target)), headFactor*r.ladder(service).Expected(kind))
+}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"banyanyard/core/cascade"
 	"banyanyard/core/place"
 	"banyanyard/core/refusal"
 	"banyanyard/io/http1"
@@ -24,6 +25,8 @@
 	// headPart is how often the latency objective may pass before an attempt
 	// that can be repeated is given up without an answer.
 	headPart = 2.0
+	// headFactor is how many times the average may pass before that.
+	headFactor = 4
 	// gapPart is how often the longest pause on time may pass before a stream
 	// goes on elsewhere.
 	gapPart = 2.0
@@ -89,7 +92,7 @@
 			return e.giveUp(err)
 		}
 		end := e.attempt(ctx, slot)
-		e.router.release(e.request, slot, end, e.kind(), &e.choice)
+		e.router.release(e, slot, end)
 		e.logAttempt(slot, end)
 		if end.done {
 			return nil
@@ -176,7 +179,7 @@
 		a.Model = e.models[e.model]
 	}
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
-		a.HeadTimeout = min(a.Left, time.Duration(headPart*float64(e.request.Route.Target)))
+		a.HeadTimeout = min(a.Left, e.router.headTimeout(e.request.Service, e.kind(), e.request.Route.Target))
 	}
 	answer, err := e.router.Transport.Send(ctx, a)
 	if err != nil {
@@ -301,16 +304,17 @@
 	if e.begun || e.model >= len(e.models)-1 || h.Confidence < 0 || !e.request.Route.Kind.Repeatable() {
 		return false
 	}
-	if h.Confidence >= confidenceEnough || e.attempts >= e.request.Route.MaxAttempts {
+	if e.attempts >= e.request.Route.MaxAttempts {
 		return false
 	}
-	return e.router.spendRetry(e.request.Service)
+	return e.router.escalate(e.request.Service, cascade.Question{
+		Confidence: h.Confidence,
+		Elapsed:    time.Since(e.request.Arrived),
+		Target:     e.request.Route.Target,
+		Larger:     e.request.Route.Name + "/" + e.models[len(e.models)-1],
+	})
 }
 
-// confidenceEnough is the confidence of a model from which on its answer is
-// delivered.
-const confidenceEnough = 60
-
 // again decides whether another attempt follows.
 func (e *execution) again(ctx context.Context, end ending) error {
 	if !end.notRun {
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -111,19 +111,26 @@
 }
 
 // release ends an attempt and learns from its outcome.
-func (r *Router) release(q *Request, s *place.Slot, end ending, kind string, c *choice) {
+func (r *Router) release(e *execution, s *place.Slot, end ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	q := e.request
 	r.fleet.Release(time.Now(), s, end.outcome)
+	switch {
+	case end.first > 0:
+		r.ladder(q.Service).Observe(e.kind(), end.first, q.Route.Target, e.model == 0)
+	case end.outcome == place.Broken && end.status == 0:
+		r.ladder(q.Service).Lost()
+	}
 	t := r.trials[q.Service]
 	if t == nil || end.notRun || end.outcome == place.Abandoned {
 		return
 	}
-	o := trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: kind, Latency: end.first}
+	o := trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: e.kind(), Latency: end.first}
 	o.Failed = end.outcome == place.Failed || end.outcome == place.Broken
 	if o.Failed && o.New {
 		// The next attempt goes to the version that is known to work.
-		c.toNew = false
+		e.choice.toNew = false
 	}
 	if t.Note(o) {
 		r.trialStopped(t)
