core/place: keys stay together up to two attempts; tests of the new decisions

Cause: with little load the bound on an upstream was one attempt, so that a second request with the same prompt prefix went elsewhere and was read anew.

--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -9,6 +9,10 @@
 // upstream before requests with the same key go to the next.
 const boundFactor = 1.5
 
+// leastBound is the number of attempts at one upstream up to which requests
+// with the same key stay together, however little this instance holds.
+const leastBound = 2
+
 // A Need describes an attempt.
 type Need struct {
 	Service string
@@ -120,7 +124,7 @@
 	for _, u := range us {
 		running += u.running
 	}
-	bound := int(boundFactor*float64(running)/float64(len(us))) + 1
+	bound := max(leastBound, int(boundFactor*float64(running)/float64(len(us)))+1)
 	var best *upstream
 	var bestScore uint64
 	for _, u := range us {
--- /dev/null
+++ b/core/trial/trial_test.go
@@ -0,0 +1,215 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+var order = Order{Service: "s", To: "v2", Revision: 7, Duration: 24 * time.Second}
+
+var bounds = Bounds{Share: 0.15, SessionOf: 5 * time.Second}
+
+// A play is a deployment of instances that all see the same order.
+type play struct {
+	trials []*Trial
+	random *rand.Rand
+	now    time.Time
+	// outcome decides how an attempt on the new version ends.
+	outcome func(at time.Duration, kind string) (failed bool, latency time.Duration)
+	all     int
+	tried   int
+	bad     int
+	after   int // requests to the new version after its 50th bad answer
+}
+
+func newPlay(instances int, seed uint64) *play {
+	p := &play{random: rand.New(rand.NewPCG(seed, seed)), now: start}
+	for range instances {
+		p.trials = append(p.trials, New(start, order, bounds))
+	}
+	return p
+}
+
+// run sends requests for the order's time, 60 a second in all, and lets the
+// instances exchange their reports twice a second.
+func (p *play) run() {
+	const perSecond = 60
+	kinds := []string{"draft/small", "draft/large", "tag/small"}
+	for i := range int(order.Duration.Seconds()) * perSecond {
+		p.now = start.Add(time.Duration(i) * time.Second / perSecond)
+		if i%(perSecond/2) == 0 {
+			p.exchange()
+		}
+		t := p.trials[p.random.IntN(len(p.trials))]
+		kind := kinds[p.random.IntN(len(kinds))]
+		toNew := t.Choose(p.now, fmt.Sprint("session-", i), "")
+		t.Sent(toNew)
+		p.all++
+		o := Outcome{New: toNew, Kind: kind, Latency: time.Duration(50+p.random.IntN(100)) * time.Millisecond}
+		if toNew {
+			p.tried++
+			if p.bad >= 50 {
+				p.after++
+			}
+			o.Failed, o.Latency = p.outcome(p.now.Sub(start), kind)
+			if o.Failed {
+				p.bad++
+			}
+		}
+		t.Note(o)
+	}
+}
+
+func (p *play) exchange() {
+	for i, t := range p.trials {
+		r := t.Report(p.now, 0)
+		for j, other := range p.trials {
+			if i != j {
+				other.Learn(p.now, fmt.Sprint(i), r)
+			}
+		}
+		if s, why := t.State(); s == Stopped {
+			for _, other := range p.trials {
+				other.Settle(Stopped, why)
+			}
+		}
+	}
+}
+
+func good(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+	return func(time.Duration, string) (bool, time.Duration) {
+		return false, time.Duration(50+r.IntN(100)) * time.Millisecond
+	}
+}
+
+func TestGoodVersionMovesInTime(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) {
+		p := newPlay(7, seed)
+		p.outcome = good(p.random)
+		p.run()
+		for _, tr := range p.trials {
+			state, _ := tr.State()
+			is.Equal(state, Running)
+			is.True(tr.Moved(p.now))
+		}
+	}
+}
+
+// TestBadVersionIsStopped plays each way of being bad. Bounds: 15% of all
+// requests and 30 more reach the version, and none 5 s after the 50th bad answer.
+func TestBadVersionIsStopped(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration)
+	}{
+		{name: "errors", outcome: func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+			return func(time.Duration, string) (bool, time.Duration) {
+				return r.Float64() < 0.35, 80 * time.Millisecond
+			}
+		}},
+		{name: "one kind only", outcome: func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+			return func(_ time.Duration, kind string) (bool, time.Duration) {
+				return kind == "tag/small" && r.Float64() < 0.5, 80 * time.Millisecond
+			}
+		}},
+		{name: "late", outcome: func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+			return func(at time.Duration, _ string) (bool, time.Duration) {
+				return at > 3*time.Second && r.Float64() < 0.5, 80 * time.Millisecond
+			}
+		}},
+		{name: "under load", outcome: func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+			return func(at time.Duration, _ string) (bool, time.Duration) {
+				return at > 12400*time.Millisecond && r.Float64() < 0.5, 80 * time.Millisecond
+			}
+		}},
+		{name: "slow", outcome: func(*rand.Rand) func(time.Duration, string) (bool, time.Duration) {
+			return func(time.Duration, string) (bool, time.Duration) { return false, 800 * time.Millisecond }
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(50) {
+				p := newPlay(7, seed)
+				p.outcome = tt.outcome(p.random)
+				p.run()
+				for _, tr := range p.trials {
+					state, why := tr.State()
+					is.Equal(state, Stopped)
+					is.True(why != "")
+				}
+				is.True(float64(p.tried) <= 0.15*float64(p.all)+30)
+				is.True(p.after <= 5) // the reports' half second
+			}
+		})
+	}
+}
+
+func TestSessionsKeepTheirVersion(t *testing.T) {
+	is := is.New(t)
+	for i := range 200 {
+		session := fmt.Sprint("session-", i)
+		tr := New(start, order, bounds)
+		tr.See("old-"+session, start)
+		is.True(!tr.Choose(start.Add(time.Second), "old-"+session, "")) // it had the old one before
+		first := tr.Choose(start.Add(time.Second), session, "")
+		is.Equal(tr.Choose(start.Add(4*time.Second), session, ""), first)
+		tr.Note(Outcome{New: true, Kind: "k"})
+		if first {
+			is.True(tr.Choose(start.Add(8*time.Second), session, "")) // and never leaves the new one
+		}
+	}
+}
+
+func TestStopStays(t *testing.T) {
+	is := is.New(t)
+	tr := New(start, order, bounds)
+	is.True(tr.Settle(Stopped, "bad"))
+	is.True(!tr.Settle(Completed, ""))
+	is.True(!tr.Choose(start.Add(23*time.Second), "s", ""))
+	is.Equal(tr.Share(start.Add(23*time.Second)), 0.0)
+}
+
+// TestCompletionWaitsForAll checks what must hold before a version's end is
+// recorded: no instance sends anything to the old version, and nothing runs
+// there.
+func TestCompletionWaitsForAll(t *testing.T) {
+	moved := start.Add(20 * time.Second)
+	tests := []struct {
+		name    string
+		running int
+		report  Report
+		want    bool
+	}{
+		{name: "clear", report: Report{Revision: 7, OldRunning: 0}, want: true},
+		{name: "this instance still runs one", running: 1, report: Report{Revision: 7, OldRunning: 0}},
+		{name: "another still runs one", report: Report{Revision: 7, OldRunning: 1}},
+		{name: "another has not moved", report: Report{Revision: 7, OldRunning: -1}},
+		{name: "another has not reported this order", report: Report{Revision: 6, OldRunning: 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			for range 10 {
+				tr.Note(Outcome{New: true, Kind: "k"})
+			}
+			tr.Learn(start, "other", tt.report)
+			is.Equal(tr.Clear(moved, tt.running, []string{"other"}), tt.want)
+		})
+	}
+}
+
+func TestLateStartCountsFromTheOrder(t *testing.T) {
+	is := is.New(t)
+	tr := New(start, order, bounds)
+	tr.Learn(start, "other", Report{Revision: 7, Elapsed: 20 * time.Second, OldRunning: 0})
+	is.Equal(tr.Begun(), start.Add(-20*time.Second))
+}
--- /dev/null
+++ b/core/window/window_test.go
@@ -0,0 +1,48 @@
+package window
+
+import (
+	"testing"
+	"time"
+
+	_ "banyanyard/core/internal/seeded"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// TestSumIsNeverTooLow compares a counter with the exact events of its span.
+func TestSumIsNeverTooLow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Counter{Span: time.Second}
+		now := start
+		var events []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "event") {
+				c.Add(now, 1)
+				events = append(events, now)
+			}
+			exact, loose := 0.0, 0.0
+			for _, at := range events {
+				if now.Sub(at) < time.Second {
+					exact++
+				}
+				if now.Sub(at) < time.Second+2*time.Second/buckets {
+					loose++
+				}
+			}
+			if sum := c.Sum(now); sum < exact || sum > loose {
+				t.Fatalf("the sum is %v, with %v events in the span and %v in a little more", sum, exact, loose)
+			}
+		}
+	})
+}
+
+func TestCounterForgetsAfterALongPause(t *testing.T) {
+	is := is.New(t)
+	c := Counter{Span: time.Second}
+	c.Add(start, 5)
+	is.Equal(c.Sum(start.Add(time.Hour)), 0.0)
+}
