core/place: large prompts on upstreams of their own

Change: upstreams are divided between large and small prompts in the proportion of their work; all instances divide them alike without messages.

--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -40,6 +40,7 @@
 	cold      Cold
 	upstreams []*upstream // by identifier
 	errors    rate        // of all its upstreams
+	lanes     lanes
 }
 
 // New returns an empty fleet of the instance in the failure domain.
@@ -78,7 +79,7 @@
 func (f *Fleet) service(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{}
+		s = &service{lanes: newLanes()}
 		f.services[name] = s
 	}
 	return s
@@ -94,7 +95,7 @@
 	if u != nil {
 		f.remove(u)
 	}
-	u = &upstream{Upstream: r, sent: newColdCounter()}
+	u = &upstream{Upstream: r, sent: newColdCounter(), order: score("", r.ID)}
 	f.warmUp(now, u, r.Cold)
 	f.byID[r.ID] = u
 	s := f.service(r.Service)
--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -20,6 +20,7 @@
 	// none does.
 	Key     string
 	Tokens  int                       // of the prompt and the answer
+	Work    float64                   // of reading the prompt, in tokens of the largest model; 0 without a prompt
 	Avoid   []string                  // upstreams that have had the request
 	Accepts func(version string) bool // nil accepts every version
 }
@@ -70,6 +71,7 @@
 	}
 	able = prefer(able, func(u *upstream) bool { return !u.suspect(s) })
 	able = prefer(able, func(u *upstream) bool { return !now.Before(u.fullUntil) })
+	able = s.lanes.of(now, able, n.Work)
 	u := f.least(able)
 	if n.Key != "" {
 		u = byKey(able, n.Key)
--- a/core/place/upstream.go
+++ b/core/place/upstream.go
@@ -30,6 +30,7 @@
 type upstream struct {
 	Upstream
 
+	order     uint64    // place among all upstreams, the same at all instances
 	goneAt    time.Time // takes no new work from then on; zero while registered
 	coldUntil time.Time
 	sent      window.Counter // requests to it in the newest second
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -88,23 +88,17 @@
 	return r.Split[0].Service
 }
 
-// A Model is one size of model that a service runs.
-type Model struct {
-	Name string
-	Cost float64 // for 1,000 generated tokens
-}
-
 // A Service is a group of upstreams that answer the same requests.
 type Service struct {
 	Name        string
 	HealthPath  string
-	MaxConns    int           // that one upstream accepts from all callers
-	ColdFor     time.Duration // after a start
-	ColdRate    float64       // requests a second that a cold upstream bears; 0 means any
-	Engine      bool          // runs models in batches
-	Slots       int           // requests that an engine runs at once
-	CacheTokens int           // memory of an engine
-	Models      []Model
+	MaxConns    int                // that one upstream accepts from all callers
+	ColdFor     time.Duration      // after a start
+	ColdRate    float64            // requests a second that a cold upstream bears; 0 means any
+	Engine      bool               // runs models in batches
+	Slots       int                // requests that an engine runs at once
+	CacheTokens int                // memory of an engine
+	Costs       map[string]float64 // of each model, for 1,000 generated tokens
 }
 
 // An Organisation owns API keys.
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -181,3 +181,11 @@
 	defer r.mu.Unlock()
 	return max(time.Duration(headPart*float64(target)), headFactor*r.ladder(service).Expected(kind))
 }
+
+// costs returns the prices of a service's models.
+func (r *Router) costs(service string) map[string]float64 {
+	if s := r.Table().Service(service); s != nil {
+		return s.Costs
+	}
+	return nil
+}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -151,10 +151,29 @@
 		Service: q.Service,
 		Key:     q.Prompt.Key(),
 		Tokens:  q.Prompt.Tokens + q.Prompt.Answer,
+		Work:    e.work(),
 		Avoid:   e.tried,
 	}
 }
 
+// work returns what it takes to read the prompt, in tokens of the largest
+// model. The prices of the models stand for their work.
+func (e *execution) work() float64 {
+	tokens := float64(e.request.Prompt.Tokens)
+	if len(e.models) == 0 {
+		return tokens
+	}
+	costs := e.router.costs(e.request.Service)
+	largest := 0.0
+	for _, cost := range costs {
+		largest = max(largest, cost)
+	}
+	if largest == 0 {
+		return tokens
+	}
+	return tokens * costs[e.models[e.model]] / largest
+}
+
 func (e *execution) refuse(v place.Verdict) error {
 	kind := refusal.NoUpstream
 	return refusal.New(kind, "send the request again after the time in Retry-After", "service %q has no upstream for it (%s)", e.request.Service, v).After(retryAfter())
