node/mesh, node/exchange, platform: few instances follow the store; evidence is collected

Ruled out: the length of a waiting call (10 s; idle calls are a tenth). Change: two instances of each failure domain follow the store and relay rows, every 0.5 s and at each change; whoever hears nothing for 1.3 s follows it itself; large rows are read from the store. Evidence goes to two collectors, which answer with a summary. Broken connections are noticed within 3 s by keep-alive.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -93,6 +93,13 @@
 	OldRunning int `json:"old-running"`
 }
 
+// A Summary is what an instance that collects reports knows of all.
+type Summary struct {
+	Revision uint64        `json:"revision"`
+	Good     int           `json:"good"` // good answers of the new version
+	Elapsed  time.Duration `json:"elapsed"`
+}
+
 // A Trial is one instance's view of an order. Use New.
 type Trial struct {
 	Order Order
@@ -107,6 +114,7 @@
 	sessions map[string]*sessionState
 	all      int // requests sent to the service since the order
 	tried    int // of these, to the new version
+	told     int // good answers of the new version at all instances, as others said
 }
 
 type mean struct {
@@ -282,11 +290,30 @@
 		return false
 	}
 	t.others[instance] = r
-	// An instance that started later counts from when others heard the order.
-	if begun := now.Add(-r.Elapsed); begun.Before(t.begun) {
+	t.align(now, r.Elapsed)
+	return t.judge()
+}
+
+// align lets an instance that started later count from when others heard the
+// order.
+func (t *Trial) align(now time.Time, elapsed time.Duration) {
+	if begun := now.Add(-elapsed); begun.Before(t.begun) {
 		t.begun = begun
 	}
-	return t.judge()
+}
+
+// Summary returns what this instance knows of all.
+func (t *Trial) Summary(now time.Time) Summary {
+	return Summary{Revision: t.Order.Revision, Good: t.good(), Elapsed: now.Sub(t.begun)}
+}
+
+// LearnSummary takes what another instance knows of all into account.
+func (t *Trial) LearnSummary(now time.Time, s Summary) {
+	if s.Revision != t.Order.Revision {
+		return
+	}
+	t.told = max(t.told, s.Good)
+	t.align(now, s.Elapsed)
 }
 
 // Report returns this instance's evidence. running is the number of its
@@ -321,7 +348,7 @@
 			n += e.New.Errors.Good
 		}
 	}
-	return n
+	return max(n, t.told)
 }
 
 func (t *Trial) judge() bool {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 
+	"banyanyard/core/gossip"
 	"banyanyard/io/tcp"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -42,6 +43,18 @@
 	return call[SyncResult](ctx, c, address, methodSync, s)
 }
 
+// Rows tells a member what has changed in the platform's store.
+func (c *Client) Rows(ctx context.Context, address string, r Rows) error {
+	_, err := call[Done](ctx, c, address, methodRows, r)
+	return err
+}
+
+// Report tells a member what this instance has seen, and returns what all of
+// them have.
+func (c *Client) Report(ctx context.Context, address string, e gossip.Entry) (gossip.Entry, error) {
+	return call[gossip.Entry](ctx, c, address, methodReport, e)
+}
+
 // Rules asks for a newer configuration.
 func (c *Client) Rules(ctx context.Context, address string, q RulesQuery) (RulesResult, error) {
 	return call[RulesResult](ctx, c, address, methodRules, q)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -19,6 +19,8 @@
 	methodExchange = "exchange"
 	methodProbe    = "probe"
 	methodSync     = "sync"
+	methodRows     = "rows"
+	methodReport   = "report"
 	methodRules    = "rules"
 	methodHold     = "hold-charges"
 	methodRelease  = "release-charges"
@@ -75,6 +77,16 @@
 	Wanted  []string       `json:"wanted,omitempty"`
 }
 
+// Rows tells an instance that does not follow the platform's store what has
+// changed there.
+type Rows struct {
+	From     string         `json:"from"` // address of the sender
+	Sum      uint64         `json:"sum"`  // identifies the sender's copy of the rows
+	Entries  []gossip.Entry `json:"entries,omitempty"`
+	Doubtful bool           `json:"doubtful,omitempty"` // rows that are missing may come back
+	Reread   bool           `json:"reread,omitempty"`   // a row is too large to be told
+}
+
 // A RulesQuery asks for the configuration in force.
 type RulesQuery struct {
 	Newer int64 `json:"newer"` // only one with a higher number
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 
+	"banyanyard/core/gossip"
+
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -18,6 +20,14 @@
 	Sync(ctx context.Context, s Sync) (SyncResult, error)
 }
 
+// A RowKeeper is told by others how the rows of the platform's store change, and
+// what they have seen.
+type RowKeeper interface {
+	Gossiper
+	Rows(ctx context.Context, r Rows) (Done, error)
+	Report(ctx context.Context, e gossip.Entry) (gossip.Entry, error)
+}
+
 // A Handler answers all calls of other instances. Its methods are called from
 // many goroutines.
 type Handler interface {
@@ -36,6 +46,8 @@
 	methodExchange: bind(Gossiper.Exchange),
 	methodProbe:    bind(Gossiper.Probe),
 	methodSync:     bind(Gossiper.Sync),
+	methodRows:     bind(RowKeeper.Rows),
+	methodReport:   bind(RowKeeper.Report),
 	methodRules:    bind(Handler.Rules),
 	methodHold:     bind(Handler.Hold),
 	methodRelease:  bind(Handler.Release),
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -18,9 +18,9 @@
 	// userTimeout is how long sent data may stay unacknowledged before the
 	// kernel ends the connection (RFC 5482).
 	userTimeout       = 5 * time.Second
-	keepAliveIdle     = 5 * time.Second
+	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 3
+	keepAliveCount    = 2
 )
 
 var dialer = &net.Dialer{
--- a/node/exchange/duty.go
+++ b/node/exchange/duty.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -25,8 +26,8 @@
 	rankDelay = 600 * time.Millisecond
 	// recordTimeout bounds the writing of a record.
 	recordTimeout = 800 * time.Millisecond
-	// evidencePrefix begins the keys of reports.
-	evidencePrefix = "evidence/"
+	// collectors is the number of instances to which the others report.
+	collectors = 2
 	// stopPrefix begins the keys of stops.
 	stopPrefix = "stop/"
 )
@@ -45,9 +46,13 @@
 	Write(ctx context.Context, service string, r Record) error
 }
 
-// A Spreader passes entries on to the other instances.
+// A Spreader speaks to the other instances.
 type Spreader interface {
+	// Publish spreads an entry to all.
 	Publish(ctx context.Context, e gossip.Entry, urgent bool)
+	// Report tells one of them what this instance has seen, and returns what
+	// it knows of all.
+	Report(ctx context.Context, address string, e gossip.Entry) (gossip.Entry, error)
 }
 
 // A Duty drives the trials of a router together with other instances. All
@@ -60,7 +65,6 @@
 
 	members []member.Status   // guarded by Router.mu
 	records map[string]Record // guarded by Router.mu; by service
-	begin   time.Time         // of Run
 	due     map[string]time.Time
 }
 
@@ -102,25 +106,32 @@
 
 // News takes an entry of another instance.
 func (d *Duty) News(e gossip.Entry) {
-	if rest, ok := strings.CutPrefix(e.Key, evidencePrefix); ok {
-		instance, service, _ := strings.Cut(rest, "/")
-		var report trial.Report
-		if err := json.Unmarshal(e.Data, &report); err != nil {
-			d.Router.Log.Line("news-rejected").Str("key", e.Key).Err(err).End()
-			return
-		}
-		d.Router.LearnReport(instance, service, report)
-		return
-	}
 	if service, ok := strings.CutPrefix(e.Key, stopPrefix); ok {
 		d.Router.Settle(service, e.Version, trial.Stopped, "another instance stopped it")
 	}
 }
 
+// Report takes the report of another instance and returns a summary of all. Its
+// key is the service and the instance, its data a trial.Report.
+func (d *Duty) Report(e gossip.Entry) gossip.Entry {
+	service, instance, _ := strings.Cut(e.Key, "/")
+	var report trial.Report
+	if err := json.Unmarshal(e.Data, &report); err != nil {
+		d.Router.Log.Line("news-rejected").Str("key", e.Key).Err(err).End()
+		return gossip.Entry{}
+	}
+	summary := d.Router.LearnReport(instance, service, report)
+	data, err := json.Marshal(summary)
+	if err != nil {
+		d.Router.Log.Line("summary-not-sent").Str("service", service).Err(err).End()
+		return gossip.Entry{}
+	}
+	return gossip.Entry{Key: e.Key, Data: data}
+}
+
 // Run looks at the trials until the context ends.
 func (d *Duty) Run(ctx context.Context) {
 	d.due = map[string]time.Time{}
-	d.begin = time.Now()
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for looks := 0; ; looks++ {
@@ -145,6 +156,8 @@
 	record Record
 	want   trial.State // that the record should have
 	rank   int         // of this instance among those that may write it
+	// collectors are the addresses of the other instances to report to.
+	collectors []string
 }
 
 func (d *Duty) look(now time.Time) []view {
@@ -161,7 +174,7 @@
 		if v.state == trial.Running && (t.Clear(now, old, others) || t.Late(now) && t.AllMoved(now, others)) {
 			v.want = trial.Completed
 		}
-		v.rank = d.rank(service, others)
+		v.rank, v.collectors = d.rank(service)
 		views = append(views, v)
 	}
 	return views
@@ -179,16 +192,27 @@
 	return names
 }
 
-// rank orders the instances that may do the duty for a service.
-func (d *Duty) rank(service string, others []string) int {
-	own := xxhash.Sum64String(service + "\x00" + d.Instance)
-	rank := 0
-	for _, name := range others {
-		if xxhash.Sum64String(service+"\x00"+name) > own {
+// rank orders the instances that may do the duty for a service. It returns this
+// instance's place and the addresses of the first others. The caller holds
+// Router.mu.
+func (d *Duty) rank(service string) (rank int, first []string) {
+	order := func(instance string) uint64 { return xxhash.Sum64String(service + "\x00" + instance) }
+	live := make([]member.Status, 0, len(d.members))
+	for _, m := range d.members {
+		if m.State <= member.Leaving && m.Instance != d.Instance {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b member.Status) int { return cmp.Compare(order(b.Instance), order(a.Instance)) })
+	for i, m := range live {
+		if order(m.Instance) > order(d.Instance) {
 			rank++
 		}
+		if i < collectors {
+			first = append(first, m.Address)
+		}
 	}
-	return rank
+	return rank, first
 }
 
 // spread tells the others what this instance has seen.
@@ -204,11 +228,24 @@
 		d.Router.Log.Line("report-not-sent").Str("service", v.order.Service).Err(err).End()
 		return
 	}
-	// The version grows with the steady clock, and beyond that of an earlier
-	// start.
-	version := uint64(d.begin.Add(time.Since(d.begin)).UnixNano())
-	key := evidencePrefix + d.Instance + "/" + v.order.Service
-	d.Spreader.Publish(ctx, gossip.Entry{Key: key, Version: version, Data: data}, v.report.OldRunning >= 0)
+	e := gossip.Entry{Key: v.order.Service + "/" + d.Instance, Data: data}
+	for _, address := range v.collectors {
+		go d.report(ctx, v.order.Service, address, e)
+	}
+}
+
+// report tells one of the instances that collect reports.
+func (d *Duty) report(ctx context.Context, service, address string, e gossip.Entry) {
+	answer, err := d.Spreader.Report(ctx, address, e)
+	if err != nil {
+		return // the next report says the same and more
+	}
+	var summary trial.Summary
+	if err := json.Unmarshal(answer.Data, &summary); err != nil {
+		d.Router.Log.Line("news-rejected").Str("key", answer.Key).Err(err).End()
+		return
+	}
+	d.Router.LearnSummary(service, summary)
 }
 
 // write makes the store's record say what this instance knows. Instances of a
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -42,13 +42,29 @@
 	r.logTrial(t, "told")
 }
 
-// LearnReport takes the evidence of another instance into account.
-func (r *Router) LearnReport(instance, service string, report trial.Report) {
+// LearnReport takes the evidence of another instance into account and returns a
+// summary of all.
+func (r *Router) LearnReport(instance, service string, report trial.Report) trial.Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.trials[service]; t != nil && t.Learn(time.Now(), instance, report) {
+	t := r.trials[service]
+	if t == nil {
+		return trial.Summary{}
+	}
+	now := time.Now()
+	if t.Learn(now, instance, report) {
 		r.trialStopped(t)
 	}
+	return t.Summary(now)
+}
+
+// LearnSummary takes what another instance knows of all into account.
+func (r *Router) LearnSummary(service string, s trial.Summary) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[service]; t != nil {
+		t.LearnSummary(time.Now(), s)
+	}
 }
 
 func (r *Router) logTrial(t *trial.Trial, source string) {
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"context"
 	"hash/fnv"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"banyanyard/core/gossip"
@@ -43,9 +44,12 @@
 	Members(all []member.Status)
 	// News takes an entry that another instance has published.
 	News(e gossip.Entry)
+	// Report takes what another instance has seen, and returns what all have.
+	// Unlike the others it is called by many goroutines.
+	Report(e gossip.Entry) gossip.Entry
 	// Row takes a row that another instance knows. Its data is empty when the
-	// row was removed.
-	Row(e gossip.Entry)
+	// row was removed; doubtful says that it may come back.
+	Row(e gossip.Entry, doubtful bool)
 }
 
 // A Mesh is one instance's part of the mesh. Use New.
@@ -56,6 +60,10 @@
 	client   *peer.Client
 	traffic  peer.Traffic
 	calls    chan func(*state)
+	source   Source
+
+	follows       atomic.Bool
+	relayFailures atomic.Int64
 }
 
 // A state is what the goroutine owns.
@@ -68,11 +76,16 @@
 	rowsChanged time.Time
 	syncing     bool
 	seeds       []member.Seed
+	heardFresh  time.Time      // when another instance has relayed rows last
+	relayed     time.Time      // when this one has
+	unsent      []gossip.Entry // rows to relay
+	flushing    bool           // a relay is due
 }
 
 // New returns a mesh for the instance with the identity. A nil dial means TCP.
-func New(self member.Identity, l Listener, log *jsonlog.Logger, dial tcp.Dial) *Mesh {
-	m := &Mesh{self: self, listener: l, log: log, calls: make(chan func(*state), backlog)}
+func New(self member.Identity, l Listener, source Source, log *jsonlog.Logger, dial tcp.Dial) *Mesh {
+	m := &Mesh{self: self, listener: l, source: source, log: log, calls: make(chan func(*state), backlog)}
+	m.follows.Store(true)
 	m.client = peer.NewClient(dial, nil, &m.traffic)
 	return m
 }
@@ -94,7 +107,7 @@
 func (m *Mesh) own(ctx context.Context, seeds []string) {
 	h := fnv.New64a()
 	h.Write([]byte(m.self.ID)) // never fails
-	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(time.Now().UnixMilli()), h.Sum64())}
+	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(time.Now().UnixMilli()), h.Sum64()), heardFresh: time.Now()}
 	s.addSeeds(seeds)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -144,13 +157,12 @@
 	})
 }
 
-// Hold keeps a row of the store for instances that cannot reach it.
-func (m *Mesh) Hold(ctx context.Context, e gossip.Entry) {
-	m.do(ctx, func(s *state) {
-		if s.rows.Hold(e) {
-			s.rowsChanged = time.Now()
-		}
-	})
+// Report tells the instance at an address what this one has seen, and returns
+// what it knows of all.
+func (m *Mesh) Report(ctx context.Context, address string, e gossip.Entry) (gossip.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return m.client.Report(ctx, address, e)
 }
 
 // Leave tells the others that this instance takes no new work.
@@ -174,6 +186,7 @@
 		go s.mesh.probe(s.ctx, a, s.message(a.ID))
 	}
 	s.noteMembers()
+	s.relay(now)
 }
 
 // push sends the news to some live instances at once.
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -41,11 +41,11 @@
 	}
 }
 
-func (s *state) learnRows(entries []gossip.Entry) {
+func (s *state) learnRows(entries []gossip.Entry, doubtful bool) {
 	for _, e := range entries {
 		if s.rows.Hold(e) {
 			s.rowsChanged = time.Now()
-			s.mesh.listener.Row(e)
+			s.mesh.listener.Row(e, doubtful)
 		}
 	}
 }
@@ -105,7 +105,7 @@
 		return err
 	}
 	wanted, err := ask(ctx, m, func(s *state) []gossip.Entry {
-		s.learnRows(theirs.Entries)
+		s.learnRows(theirs.Entries, s.mesh.source.Doubtful())
 		return s.held(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
@@ -125,7 +125,7 @@
 	return entries
 }
 
-// A handler implements peer.Gossiper.
+// A handler implements peer.Gossiper and peer.RowKeeper.
 type handler struct{ *Mesh }
 
 // Exchange implements peer.Gossiper.
@@ -159,7 +159,7 @@
 // Sync implements peer.Gossiper. It compares rows.
 func (h handler) Sync(ctx context.Context, q peer.Sync) (peer.SyncResult, error) {
 	return ask(ctx, h.Mesh, func(s *state) peer.SyncResult {
-		s.learnRows(q.Entries)
+		s.learnRows(q.Entries, s.mesh.source.Doubtful())
 		result := peer.SyncResult{Sum: s.rows.Sum()}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.rows.Compare(q.Digest)
@@ -167,3 +167,8 @@
 		return result
 	})
 }
+
+// Report implements peer.RowKeeper.
+func (h handler) Report(_ context.Context, e gossip.Entry) (gossip.Entry, error) {
+	return h.listener.Report(e), nil
+}
