--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -33,7 +33,8 @@
 	instances []string // all that may be running, this one included
 	services  map[string]*service
 	byID      map[string]*upstream
-	out       map[string]bool // failure domains that take no new work
+	out       map[string]bool  // failure domains that take no new work
+	paths     map[string]*path // by failure domain
 }
 
 type service struct {
@@ -52,6 +53,7 @@
 		services:  map[string]*service{},
 		byID:      map[string]*upstream{},
 		out:       map[string]bool{},
+		paths:     map[string]*path{},
 	}
 }
 
--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -65,7 +65,9 @@
 	if len(open) == 0 {
 		return nil, None
 	}
-	able := slices.DeleteFunc(open, func(u *upstream) bool { return u.down(now) || !f.bears(now, s, u) })
+	able := slices.DeleteFunc(open, func(u *upstream) bool {
+		return u.down(now) || now.Before(f.path(u.Domain).downUntil) || !f.bears(now, s, u)
+	})
 	if len(able) == 0 {
 		return nil, Busy
 	}
@@ -142,6 +144,7 @@
 }
 
 func (f *Fleet) take(now time.Time, u *upstream, n Need) *Slot {
+	f.path(u.Domain).try(now)
 	u.running++
 	u.sentAll++
 	u.tokens += n.Tokens
@@ -163,8 +166,12 @@
 	Refused
 	// Misdirected: another upstream has the address.
 	Misdirected
-	// Unreachable: no connection could be opened.
+	// Unreachable: no connection could be opened in its time.
 	Unreachable
+	// Silent: what was sent was not acknowledged in its time.
+	Silent
+	// Closed: connections are refused or reset; its machine is there.
+	Closed
 	// Failed: the upstream ran the request and reported a failure.
 	Failed
 	// Broken: the answer broke off, never came, or was not an answer.
@@ -173,7 +180,7 @@
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "abandoned", "refused", "misdirected", "unreachable", "failed", "broken"}[o]
+	return [...]string{"answered", "abandoned", "refused", "misdirected", "unreachable", "silent", "closed", "failed", "broken"}[o]
 }
 
 // Release ends an attempt.
@@ -185,15 +192,21 @@
 	switch o {
 	case Abandoned:
 		return
-	case Answered:
+	case Answered, Failed:
 		u.failures = 0
 		u.downUntil = time.Time{}
+		f.path(u.Domain).answered()
 	case Refused:
 		u.fullUntil = now.Add(fullPause)
+		f.path(u.Domain).answered()
 	case Misdirected:
 		u.downUntil = now.Add(longestPause)
 		return
-	case Unreachable:
+	case Unreachable, Silent:
+		u.unreachable(now)
+		f.path(u.Domain).unreachable(now, u.ID)
+		return
+	case Closed:
 		u.unreachable(now)
 		return
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -246,3 +246,53 @@
 		is.Equal(s.Upstream.ID, "u0")
 	}
 }
+
+// TestCutDomainIsLeftAlone plays a failure domain that is cut off: after two of
+// its upstreams no request waits for another one there, but for one at a time
+// that tries whether it is back.
+func TestCutDomainIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	f := fleet(12) // four in each of three domains
+	now := start
+	lost := 0
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		s, _ := f.Pick(now, Need{Service: "s", Key: now.String()})
+		o := Answered
+		if s.Upstream.Domain == "d1" {
+			o = Unreachable
+			lost++
+		}
+		f.Release(now, s, o)
+	}
+	is.True(lost >= 2)
+	is.True(lost <= 8) // in 4 s
+	back := 0
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		s, _ := f.Pick(now, Need{Service: "s", Key: now.String()})
+		if s.Upstream.Domain == "d1" {
+			back++
+		}
+		f.Release(now, s, Answered)
+	}
+	is.True(back > 20) // it takes part again
+}
+
+func TestOneLostUpstreamDoesNotCutItsDomain(t *testing.T) {
+	is := is.New(t)
+	f := fleet(12)
+	now := start
+	seen := map[string]bool{}
+	for range 300 {
+		now = now.Add(20 * time.Millisecond)
+		s, _ := f.Pick(now, Need{Service: "s", Key: now.String()})
+		o := Answered
+		if s.Upstream.ID == "u1" {
+			o = Unreachable
+		}
+		seen[s.Upstream.ID] = true
+		f.Release(now, s, o)
+	}
+	is.Equal(len(seen), 12)
+}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -16,8 +16,9 @@
 const (
 	dialTimeout = time.Second
 	// userTimeout is how long sent data may stay unacknowledged before the
-	// kernel ends the connection (RFC 5482).
-	userTimeout       = 5 * time.Second
+	// kernel ends the connection (RFC 5482): time for two retransmissions on a
+	// short path.
+	userTimeout       = time.Second
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	"banyanyard/core/cascade"
@@ -220,14 +221,17 @@
 	end := ending{outcome: place.Broken, err: err, took: time.Since(begin)}
 	var unreachable *http1.UnreachableError
 	switch {
+	case ctx.Err() != nil:
+		end.outcome = place.Abandoned
+		end.notRun = errors.As(err, &unreachable)
 	case errors.As(err, &unreachable):
 		end.outcome = place.Unreachable
 		end.notRun = true
-		if ctx.Err() != nil {
-			end.outcome = place.Abandoned
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			end.outcome = place.Closed
 		}
-	case ctx.Err() != nil:
-		end.outcome = place.Abandoned
+	case errors.Is(err, syscall.ETIMEDOUT):
+		end.outcome = place.Silent
 	}
 	return end
 }
@@ -264,8 +268,11 @@
 }
 
 func (e *execution) unread(ctx context.Context, err error) ending {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return ending{outcome: place.Abandoned, err: err}
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return ending{outcome: place.Silent, err: err}
 	}
 	return ending{outcome: place.Broken, err: err}
 }
@@ -352,12 +359,12 @@
 		return end.err
 	case !end.notRun && !kind.Repeatable():
 		return end.err
-	case e.attempts >= e.request.Route.MaxAttempts && end.outcome != place.Unreachable:
+	case e.attempts >= e.request.Route.MaxAttempts && !unsent(end):
 		return end.err
 	case time.Until(e.request.Deadline) < minLeft:
 		return errDeadline
 	}
-	if end.outcome == place.Unreachable {
+	if unsent(end) {
 		// Nothing arrived at an upstream.
 		e.attempts--
 		return nil
@@ -368,6 +375,11 @@
 	return nil
 }
 
+// unsent reports whether no byte of the request was sent.
+func unsent(end ending) bool {
+	return end.notRun && (end.outcome == place.Unreachable || end.outcome == place.Closed)
+}
+
 // giveUp returns what the caller is told. It passes on an upstream's own
 // failure where there is one.
 func (e *execution) giveUp(err error) error {
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -135,7 +135,7 @@
 	switch {
 	case end.first > 0:
 		r.ladder(q.Service).Observe(e.kind(), end.first, q.Route.Target, e.model == 0)
-	case end.outcome == place.Broken && end.status == 0:
+	case (end.outcome == place.Broken || end.outcome == place.Silent) && end.status == 0:
 		r.ladder(q.Service).Lost()
 	}
 	t := r.trials[q.Service]
