core/place, node/exchange: streams of lost upstreams go on; cut domains tried ever less often

(2) a stream that had escalated and was then cut off twice had used its three attempts and was cut for its caller. Change: the upstream that is tried is remembered; an attempt at an upstream that cannot be reached any more does not count against the route's attempts.

--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -18,6 +18,7 @@
 	failed    string // upstream that failed last
 	failures  int    // of different upstreams in a row, without an answer
 	cuts      int    // times that it was found cut off, without an answer
+	trying    string // upstream that is tried since; empty when none is
 	downUntil time.Time
 }
 
@@ -27,9 +28,10 @@
 		p.failed = upstream
 		p.failures++
 	}
-	if p.failures < domainFailures || now.Before(p.downUntil) {
+	if p.failures < domainFailures || now.Before(p.downUntil) && p.trying != upstream {
 		return
 	}
+	p.trying = ""
 	p.downUntil = now.Add(min(firstCut<<min(p.cuts, 8), longestCut))
 	p.cuts++
 }
@@ -39,8 +41,9 @@
 
 // try lets one request through after a cut and keeps the others back until its
 // outcome is known.
-func (p *path) try(now time.Time) {
+func (p *path) try(now time.Time, upstream string) {
 	if p.cuts > 0 {
+		p.trying = upstream
 		p.downUntil = now.Add(firstCut)
 	}
 }
--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -144,7 +144,7 @@
 }
 
 func (f *Fleet) take(now time.Time, u *upstream, n Need) *Slot {
-	f.path(u.Domain).try(now)
+	f.path(u.Domain).try(now, u.ID)
 	u.running++
 	u.sentAll++
 	u.tokens += n.Tokens
@@ -183,6 +183,12 @@
 	return [...]string{"answered", "abandoned", "refused", "misdirected", "unreachable", "silent", "closed", "failed", "broken"}[o]
 }
 
+// Lost reports whether the upstream of an attempt cannot be reached, as far as
+// is known, so that what broke off there did so for that reason.
+func (f *Fleet) Lost(now time.Time, slot *Slot) bool {
+	return slot.u.down(now) || slot.u.gone(now) || now.Before(f.path(slot.u.Domain).downUntil)
+}
+
 // Release ends an attempt.
 func (f *Fleet) Release(now time.Time, slot *Slot, o Outcome) {
 	u := slot.u
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -93,7 +93,7 @@
 			return e.giveUp(err)
 		}
 		end := e.attempt(ctx, slot)
-		e.router.release(e, slot, end)
+		end.lost = e.router.release(e, slot, end)
 		e.logAttempt(slot, end)
 		if end.done {
 			return nil
@@ -111,6 +111,7 @@
 	notRun   bool // surely
 	err      error
 	escalate bool // a larger model is to answer
+	lost     bool // the upstream can no longer be reached
 	took     time.Duration
 	first    time.Duration // until the first event or the answer; 0 when there was none
 	status   int
@@ -359,7 +360,7 @@
 		return end.err
 	case !end.notRun && !kind.Repeatable():
 		return end.err
-	case e.attempts >= e.request.Route.MaxAttempts && !unsent(end):
+	case e.attempts >= e.request.Route.MaxAttempts && !unsent(end) && !end.lost:
 		return end.err
 	case time.Until(e.request.Deadline) < minLeft:
 		return errDeadline
@@ -372,6 +373,10 @@
 	if !e.router.spendRetry(e.request.Service) {
 		return end.err
 	}
+	if end.lost {
+		// An upstream that was cut off doesn't count as one that had its chance.
+		e.attempts--
+	}
 	return nil
 }
 
