node/exchange: requests that crash upstreams are refused at all instances

Cause: a request that crashes each upstream that runs it came again through any instance and broke one after another; on this path nothing remembered it.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -146,7 +146,7 @@
 
 // Refuse reports whether the request must not run, and how long at least.
 func (s *Suspects) Refuse(now time.Time, f Fingerprint) (time.Duration, bool) {
-	if s.blame(now, f) < Limit {
+	if s.Blame(now, f) < Limit {
 		return 0, false
 	}
 	last := Doubt
@@ -161,10 +161,10 @@
 
 // Suspect reports whether the request has broken a run that nothing has cleared
 // since.
-func (s *Suspects) Suspect(now time.Time, f Fingerprint) bool { return s.blame(now, f) > 0 }
+func (s *Suspects) Suspect(now time.Time, f Fingerprint) bool { return s.Blame(now, f) > 0 }
 
-// blame returns the broken runs that no whole answer has cleared.
-func (s *Suspects) blame(now time.Time, f Fingerprint) int {
+// Blame returns the broken runs that no whole answer has cleared.
+func (s *Suspects) Blame(now time.Time, f Fingerprint) int {
 	blame := 0
 	for _, c := range s.counts[f] {
 		if now.Sub(c.Newest) <= Memory {
--- a/node/exchange/duty.go
+++ b/node/exchange/duty.go
@@ -108,6 +108,10 @@
 func (d *Duty) News(e gossip.Entry) {
 	if service, ok := strings.CutPrefix(e.Key, stopPrefix); ok {
 		d.Router.Settle(service, e.Version, trial.Stopped, "another instance stopped it")
+		return
+	}
+	if strings.HasPrefix(e.Key, crashPrefix) {
+		d.Router.learnCrash(e)
 	}
 }
 
@@ -138,6 +142,9 @@
 		select {
 		case <-ticker.C:
 		case <-d.Router.stopped:
+		case e := <-d.Router.news:
+			d.Spreader.Publish(ctx, e, true)
+			continue
 		case <-ctx.Done():
 			return
 		}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"banyanyard/core/cascade"
+	"banyanyard/core/crash"
+	"banyanyard/core/gossip"
 	"banyanyard/core/place"
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
@@ -29,12 +31,15 @@
 	Metrics   *Metrics
 	Bounds    Bounds // guarded by mu once requests are answered
 
-	table atomic.Pointer[routing.Table]
+	instance string
+	table    atomic.Pointer[routing.Table]
+	news     chan gossip.Entry // for the other instances
 
-	mu     sync.Mutex
-	fleet  *place.Fleet            // guarded by mu
-	ratios map[string]*retry.Ratio // guarded by mu; by service
-	trials map[string]*trial.Trial // guarded by mu; by service
+	mu       sync.Mutex
+	fleet    *place.Fleet            // guarded by mu
+	ratios   map[string]*retry.Ratio // guarded by mu; by service
+	trials   map[string]*trial.Trial // guarded by mu; by service
+	suspects crash.Suspects          // guarded by mu
 	// ladders decide which model answers. Guarded by mu; by service.
 	ladders map[string]*cascade.Ladder
 	// sessions holds when each session was seen last. Guarded by mu.
@@ -44,10 +49,15 @@
 	stopped chan struct{}
 }
 
+// newsBacklog bounds the news that wait to be spread.
+const newsBacklog = 64
+
 // New returns a router of an instance in a failure domain. Its exported fields
 // must be set before the first request.
 func New(instance, domain string) *Router {
 	return &Router{
+		instance: instance,
+		news:     make(chan gossip.Entry, newsBacklog),
 		fleet:    place.New(instance, domain),
 		ratios:   map[string]*retry.Ratio{},
 		trials:   map[string]*trial.Trial{},
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -77,6 +77,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline, errDeadline)
 	defer cancel()
 	r.countRequest(q.Service)
+	if refused := r.refuseCrasher(q); refused != nil {
+		e.settle(ctx, refused)
+		return refused
+	}
 	err := e.run(ctx)
 	e.settle(ctx, err)
 	return err
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -134,6 +134,7 @@
 	now := time.Now()
 	r.fleet.Release(now, s, end.outcome)
 	r.learn(e, s, end)
+	r.noteCrash(now, e.request, s, end)
 	broken := end.outcome == place.Silent || end.outcome == place.Broken
 	return broken && r.fleet.Lost(now, s)
 }
@@ -175,6 +176,7 @@
 	for _, t := range r.trials {
 		t.Sweep(now)
 	}
+	r.suspects.Expire(now)
 	for id, at := range r.sessions {
 		if now.Sub(at) > sessionMemory {
 			delete(r.sessions, id)
