--- a/cmd/banyanyard/serve.go
+++ b/cmd/banyanyard/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -29,15 +30,17 @@
 		Example: "  banyanyard serve --settings /etc/banyanyard/settings.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if onPlatform {
+			switch {
+			case onPlatform:
 				return platform.Serve(c.Context())
+			case file == "":
+				return &usageError{cause: errors.New(`required flag "settings" or "platform" not set`)}
 			}
 			return serve(c.Context(), file)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file")
 	c.Flags().BoolVar(&onPlatform, "platform", false, "use the platform's settings file")
-	c.MarkFlagsOneRequired("settings", "platform")
 	c.MarkFlagsMutuallyExclusive("settings", "platform")
 	return c
 }
