--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -7,7 +7,7 @@
 
 // boundFactor is how much more than the average this instance holds at one
 // upstream before requests with the same key go to the next.
-const boundFactor = 1.5
+const boundFactor = 1.2
 
 // leastBound is the number of attempts at one upstream up to which requests
 // with the same key stay together, however little this instance holds.
