--- a/node/exchange/observe.go
+++ b/node/exchange/observe.go
@@ -62,7 +62,7 @@
 }
 
 // settle logs and counts what became of the request.
-func (e *execution) settle(ctx context.Context, err error) {
+func (e *execution) settle(err error) {
 	q := e.request
 	now := time.Now()
 	outcome := "answered"
@@ -71,13 +71,13 @@
 	case err == nil && e.failure != nil && !e.begun:
 		outcome = "upstream-failure"
 	case err == nil:
+	case errors.Is(err, context.Canceled):
+		outcome = "caller-left"
 	case errors.Is(err, ErrBegun):
 		outcome = "cut"
 	case errors.As(err, &refused):
 		outcome = string(refused.Kind)
 		e.router.Metrics.refusals.WithLabelValues(outcome).Inc()
-	case ctx.Err() != nil:
-		outcome = "caller-left"
 	default:
 		outcome = "not-delivered"
 	}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -78,11 +78,11 @@
 	defer cancel()
 	r.countRequest(q.Service)
 	if refused := r.refuseCrasher(q); refused != nil {
-		e.settle(ctx, refused)
+		e.settle(refused)
 		return refused
 	}
 	err := e.run(ctx)
-	e.settle(ctx, err)
+	e.settle(err)
 	return err
 }
 
