--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	_ "banyanyard/core/internal/seeded"
 	"banyanyard/core/refusal"
 	"banyanyard/core/rules"
+	_ "banyanyard/core/seeded"
 	"banyanyard/core/slot"
 
 	"github.com/matryer/is"
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"testing"
 
-	_ "banyanyard/core/internal/seeded"
+	_ "banyanyard/core/seeded"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	_ "banyanyard/core/internal/seeded"
+	_ "banyanyard/core/seeded"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	_ "banyanyard/core/internal/seeded"
+	_ "banyanyard/core/seeded"
 	"banyanyard/core/tally"
 
 	"github.com/matryer/is"
--- a/core/rules/patch_test.go
+++ b/core/rules/patch_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	_ "banyanyard/core/internal/seeded"
+	_ "banyanyard/core/seeded"
 
 	"pgregory.net/rapid"
 )
--- a/core/slot/slot_test.go
+++ b/core/slot/slot_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"testing"
 
-	_ "banyanyard/core/internal/seeded"
 	"banyanyard/core/rules"
+	_ "banyanyard/core/seeded"
 
 	"pgregory.net/rapid"
 )
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	_ "banyanyard/core/internal/seeded"
+	_ "banyanyard/core/seeded"
 
 	"pgregory.net/rapid"
 )
--- /dev/null
+++ b/node/exchange/exchange_test.go
@@ -0,0 +1,276 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"banyanyard/core/place"
+	"banyanyard/core/refusal"
+	"banyanyard/core/routing"
+	_ "banyanyard/core/seeded"
+	"banyanyard/core/trial"
+	"banyanyard/io/http1"
+	"banyanyard/io/jsonlog"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const testEvents = 5
+
+// A fakeTransport draws what becomes of each attempt, and counts what ran.
+type fakeTransport struct {
+	t    *rapid.T
+	runs int // attempts that an upstream began to run
+	sent int // attempts of which a byte was sent
+}
+
+func (f *fakeTransport) Send(_ context.Context, a *Attempt) (Answer, error) {
+	outcome := rapid.SampledFrom([]string{"unreachable", "refused", "misdirected", "failed", "broken", "late", "answered", "answered"}).Draw(f.t, "outcome")
+	if outcome == "unreachable" {
+		return nil, &http1.UnreachableError{Address: a.Upstream.Address, Cause: errors.New("no route")}
+	}
+	f.sent++
+	head := Head{Status: http.StatusOK, Confidence: -1}
+	switch outcome {
+	case "refused":
+		return &fakeAnswer{head: Head{Status: http.StatusServiceUnavailable, NotRun: true}}, nil
+	case "misdirected":
+		return &fakeAnswer{head: Head{Status: http.StatusMisdirectedRequest, Misdirected: true}}, nil
+	}
+	f.runs++
+	switch outcome {
+	case "failed":
+		head.Status = http.StatusInternalServerError
+	case "broken":
+		return nil, &http1.BrokenError{Address: a.Upstream.Address, Cause: io.ErrUnexpectedEOF}
+	case "late":
+		return &fakeAnswer{head: head, after: a.After, breaksAt: rapid.IntRange(1, testEvents).Draw(f.t, "breaks-at")}, nil
+	}
+	if len(a.Request.Route.Models) > 0 {
+		head.Confidence = rapid.IntRange(0, 100).Draw(f.t, "confidence")
+	}
+	return &fakeAnswer{head: head, after: a.After}, nil
+}
+
+// A fakeAnswer is a stream of testEvents events, or a short body.
+type fakeAnswer struct {
+	head     Head
+	after    string
+	breaksAt int // event before which it breaks; 0 for a whole answer
+}
+
+var errFakeBroken = &http1.BrokenError{Address: "fake", Cause: io.ErrUnexpectedEOF}
+
+func (a *fakeAnswer) Head() Head { return a.head }
+func (a *fakeAnswer) Close()     {}
+
+func (a *fakeAnswer) Next(time.Duration) (Event, error) {
+	n := 0
+	if a.after != "" {
+		if _, err := fmt.Sscan(a.after, &n); err != nil {
+			return Event{}, err
+		}
+	}
+	n++
+	if n > testEvents {
+		return Event{}, io.EOF
+	}
+	if n == a.breaksAt {
+		return Event{}, errFakeBroken
+	}
+	a.after = fmt.Sprint(n)
+	return Event{ID: a.after, Data: []byte(a.after)}, nil
+}
+
+func (a *fakeAnswer) Whole(int) ([]byte, error) {
+	if a.breaksAt > 0 {
+		return nil, errFakeBroken
+	}
+	return []byte("whole"), nil
+}
+
+// A fakeOutput is what a caller got.
+type fakeOutput struct {
+	status int
+	events string
+	ended  bool
+}
+
+func (o *fakeOutput) Whole(h Head, _ []byte) error {
+	o.status = h.Status
+	o.ended = true
+	return nil
+}
+
+func (o *fakeOutput) Begin(h Head) error {
+	o.status = h.Status
+	return nil
+}
+
+func (o *fakeOutput) Event(data []byte) error {
+	o.events += string(data)
+	return nil
+}
+
+func (o *fakeOutput) End() error {
+	o.ended = true
+	return nil
+}
+
+func newTestRouter(upstreams int) *Router {
+	r := New("i0", "d0")
+	r.Log = jsonlog.New(io.Discard)
+	r.Metrics = NewMetrics()
+	r.Bounds = Bounds{RetryShare: 100, RetrySlack: 1000, RetrySpan: 10 * time.Second, Trial: trial.Bounds{Share: 0.15, SessionOf: 5 * time.Second}}
+	r.Configure(routing.New(routing.Table{Version: 1, Services: []routing.Service{{Name: "s"}}}))
+	r.Fleet(func(now time.Time, f *place.Fleet) {
+		for i := range upstreams {
+			f.Register(now, place.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint(i), Domain: fmt.Sprint("d", i%3), Version: "v1", Slots: 4})
+		}
+	})
+	return r
+}
+
+// run answers one request of a kind with random outcomes, and returns what the
+// rules that follow are about.
+func run(t *rapid.T, route *routing.Route) (*fakeTransport, *fakeOutput, error) {
+	r := newTestRouter(rapid.IntRange(0, 6).Draw(t, "upstreams"))
+	defer r.Log.Close()
+	f := &fakeTransport{t: t}
+	r.Transport = f
+	out := &fakeOutput{}
+	q := &Request{ID: "1", Route: route, Service: "s", Method: http.MethodPost, Target: "/", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	err := r.Run(context.Background(), q, out)
+	return f, out, err
+}
+
+// checkTruth checks what every caller is promised.
+func checkTruth(route *routing.Route, f *fakeTransport, out *fakeOutput, err error) error {
+	var refused *refusal.Error
+	switch {
+	case errors.As(err, &refused) && refused.Run == refusal.NotRun && !errors.Is(err, ErrBegun) && f.runs > 0:
+		return fmt.Errorf("the refusal %q says not run, and %d attempts ran", refused, f.runs)
+	case err == nil && !out.ended:
+		return errors.New("the caller got no whole answer, and no error")
+	case err != nil && out.ended:
+		return fmt.Errorf("the answer looks complete in spite of %w", err)
+	case route.Kind.Streaming() && out.events != "12345"[:len(out.events)]:
+		return fmt.Errorf("the events are %q", out.events)
+	case route.Kind.Streaming() && out.ended && out.status == http.StatusOK && len(out.events) != testEvents:
+		return fmt.Errorf("the stream ends as complete after %q", out.events)
+	case f.sent > route.MaxAttempts:
+		return fmt.Errorf("%d attempts were sent, %d are allowed", f.sent, route.MaxAttempts)
+	}
+	return nil
+}
+
+func atMostOnce(f *fakeTransport) error {
+	if f.runs > 1 {
+		return fmt.Errorf("it ran %d times", f.runs)
+	}
+	return nil
+}
+
+// TestPromisesUnderRandomOutcomes runs requests of each kind against upstreams
+// that do anything.
+func TestPromisesUnderRandomOutcomes(t *testing.T) {
+	for kind := routing.NonIdempotent; kind <= routing.ResumableStream; kind++ {
+		t.Run(kind.String(), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				route := &routing.Route{Name: "r", Kind: kind, MaxAttempts: rapid.IntRange(1, 4).Draw(t, "max-attempts"), GapTarget: time.Second, Split: []routing.Share{{Service: "s"}}}
+				if kind.Streaming() && rapid.Bool().Draw(t, "sizes") {
+					route.Models = []string{"small", "large"}
+				}
+				f, out, err := run(t, route)
+				if err := checkTruth(route, f, out, err); err != nil {
+					t.Fatal(err)
+				}
+				if !kind.Repeatable() {
+					if err := atMostOnce(f); err != nil {
+						t.Fatal(err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestTheChecksCanFail shows that the schedules find a request that is repeated
+// though it may not be: one whose kind was taken for another.
+func TestTheChecksCanFail(t *testing.T) {
+	found := false
+	rapid.Check(t, func(t *rapid.T) {
+		if found {
+			return
+		}
+		f, _, _ := run(t, &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3, Split: []routing.Share{{Service: "s"}}})
+		found = atMostOnce(f) != nil
+	})
+	is.New(t).True(found)
+}
+
+func TestEachAttemptUsesWhatIsKnownAtItsMoment(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(2)
+	defer r.Log.Close()
+	var asked []string
+	r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+		asked = append(asked, a.Upstream.ID)
+		// The other upstream's domain is taken out while this attempt runs.
+		r.Fleet(func(_ time.Time, f *place.Fleet) {
+			f.SetOut("d0", true)
+			f.SetOut("d1", true)
+		})
+		return &fakeAnswer{head: Head{Status: http.StatusServiceUnavailable, NotRun: true}}, nil
+	})
+	q := &Request{ID: "1", Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	err := r.Run(context.Background(), q, &fakeOutput{})
+	var refused *refusal.Error
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Kind, refusal.NoUpstream)
+	is.True(refused.RetryAfter > 0)
+	is.Equal(len(asked), 1)
+}
+
+type transportFunc func(a *Attempt) (Answer, error)
+
+func (f transportFunc) Send(_ context.Context, a *Attempt) (Answer, error) { return f(a) }
+
+// TestNothingStartsOnTheOldVersionOnceAllHasMoved checks what makes it safe to
+// record the end of a roll-out.
+func TestNothingStartsOnTheOldVersionOnceAllHasMoved(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(2) // of the old version only
+	defer r.Log.Close()
+	r.Order(trial.Order{Service: "s", To: "v2", Revision: 1, Duration: time.Nanosecond})
+	r.LearnSummary("s", trial.Summary{Revision: 1, Good: 100, Elapsed: time.Second})
+	r.Transport = transportFunc(func(*Attempt) (Answer, error) { return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil })
+	q := &Request{ID: "1", Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	var refused *refusal.Error
+	is.True(errors.As(r.Run(context.Background(), q, &fakeOutput{}), &refused))
+	is.Equal(refused.Run, refusal.NotRun)
+}
+
+func TestTablesNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New("i0", "d0")
+		newest := int64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "tables") {
+			v := rapid.Int64Range(1, 30).Draw(t, "version")
+			took := r.Configure(routing.New(routing.Table{Version: v}))
+			if took != (v > newest) {
+				t.Fatalf("version %d was taken: %v, after %d", v, took, newest)
+			}
+			newest = max(newest, v)
+			if got := r.Table().Version; got != newest {
+				t.Fatalf("version %d is in force, %d was the newest", got, newest)
+			}
+		}
+	})
+}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -112,7 +112,9 @@
 	}
 	c.made = true
 	slot, verdict := r.pickVersion(now, n, t, c.toNew)
-	if verdict == place.None && state == trial.Running {
+	// Once everything has moved, others may record the end at any moment, and
+	// the old version stops: nothing starts there any more.
+	if verdict == place.None && state == trial.Running && !t.Moved(now) {
 		c.toNew = !c.toNew
 		slot, verdict = r.pickVersion(now, n, t, c.toNew)
 		t.Keep(now, q.Session, c.toNew)
