node/mesh, platform, core/trial: orders are compared apart from registrations; fewer tries at size

For CONFIG: an instance that the store refuses learns what is too large to relay by comparing rows with others; it compared only when its rows had been still for 0.4 s, which they never are while upstreams are replaced; and a failed attempt to read the row was not repeated. Ruled out: lost log lines had looked like an instance that never got a version.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -32,6 +32,10 @@
 	// part of what the deployment lets a bad version have. A larger one also
 	// moves more sessions that are known to other instances only.
 	tryShare = 0.3
+	// fewInstances is the number of instances up to which that part is tried.
+	// Above it the traffic is larger, so that a smaller part shows as much, and
+	// moves no more sessions that are known to other instances only.
+	fewInstances = 10.0
 	// moveAt is the part of the order's time after which the traffic moves.
 	// Sessions may not be moved before the middle.
 	moveAt = 0.51
@@ -104,7 +108,8 @@
 
 // A Trial is one instance's view of an order. Use New.
 type Trial struct {
-	Order Order
+	Order     Order
+	Instances int // that share the traffic; 0 counts as few
 
 	bounds   Bounds
 	begun    time.Time
@@ -163,7 +168,7 @@
 		return 1
 	}
 	d := float64(t.Order.Duration)
-	try := tryShare * t.bounds.Share
+	try := tryShare * t.bounds.Share * min(1, fewInstances/float64(max(t.Instances, 1)))
 	moved := float64(now.Sub(t.begun)) - moveAt*d
 	if moved < 0 || t.good() < minGood {
 		return try
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -32,7 +32,10 @@
 type Exchange struct {
 	From    Status         `json:"from"`
 	Entries []gossip.Entry `json:"entries,omitempty"`
-	Rows    uint64         `json:"rows,omitempty"` // identifies the copy of the store's rows
+	// Orders and Rows identify the sender's copies of the store's rows: those of
+	// operators, and the others.
+	Orders uint64 `json:"orders,omitempty"`
+	Rows   uint64 `json:"rows,omitempty"`
 }
 
 // A Status is a member.Status in messages.
@@ -80,8 +83,9 @@
 // Rows tells an instance that does not follow the platform's store what has
 // changed there.
 type Rows struct {
-	From     string         `json:"from"` // address of the sender
-	Sum      uint64         `json:"sum"`  // identifies the sender's copy of the rows
+	From     string         `json:"from"`   // address of the sender
+	Orders   uint64         `json:"orders"` // as in Exchange
+	Rows     uint64         `json:"rows"`   // as in Exchange
 	Entries  []gossip.Entry `json:"entries,omitempty"`
 	Doubtful bool           `json:"doubtful,omitempty"` // rows that are missing may come back
 	Reread   bool           `json:"reread,omitempty"`   // a row is too large to be told
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -101,6 +101,7 @@
 	if t == nil {
 		return r.fleet.Pick(now, n)
 	}
+	t.Instances = r.fleet.Instances()
 	state, _ := t.State()
 	switch {
 	case state == trial.Stopped:
--- /dev/null
+++ b/node/mesh/copies.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"time"
+
+	"banyanyard/core/gossip"
+)
+
+// copies are an instance's copies of the store's rows. Those that change often,
+// the registrations, are kept apart from the others: while many change, the sums
+// of two instances hardly ever agree, which must not hide that one of them lacks
+// an order of the operators.
+type copies struct {
+	rare  func(key string) bool // set once
+	rares copy
+	often copy
+}
+
+// A copy is a part of the rows.
+type copy struct {
+	rows    gossip.Store
+	changed time.Time
+}
+
+func (c *copies) of(key string) *copy {
+	if c.rare(key) {
+		return &c.rares
+	}
+	return &c.often
+}
+
+// hold takes a row and reports whether it was newer than the one held.
+func (c *copies) hold(now time.Time, e gossip.Entry) bool {
+	part := c.of(e.Key)
+	if !part.rows.Hold(e) {
+		return false
+	}
+	part.changed = now
+	return true
+}
+
+func (c *copies) get(key string) (gossip.Entry, bool) { return c.of(key).rows.Get(key) }
+
+// lacks reports whether another instance, whose sums are given, has other rows
+// than this one, and has had the time to hear of its latest.
+func (c *copies) lacks(now time.Time, rares, often uint64) bool {
+	return c.rares.differs(now, rares) || c.often.differs(now, often)
+}
+
+func (c *copy) differs(now time.Time, sum uint64) bool {
+	return c.rows.Sum() != sum && now.Sub(c.changed) >= settleTime
+}
+
+func (c *copies) digest() map[string]uint64 {
+	digest := c.rares.rows.Digest()
+	for key, version := range c.often.rows.Digest() {
+		digest[key] = version
+	}
+	return digest
+}
+
+// compare returns the rows that are newer than a digest, and the keys of which
+// the digest has newer ones.
+func (c *copies) compare(digest map[string]uint64) (missing []gossip.Entry, wanted []string) {
+	rares, often := map[string]uint64{}, map[string]uint64{}
+	for key, version := range digest {
+		if c.rare(key) {
+			rares[key] = version
+		} else {
+			often[key] = version
+		}
+	}
+	missing, wanted = c.rares.rows.Compare(rares)
+	more, moreWanted := c.often.rows.Compare(often)
+	return append(missing, more...), append(wanted, moreWanted...)
+}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -68,18 +68,17 @@
 
 // A state is what the goroutine owns.
 type state struct {
-	mesh        *Mesh
-	ctx         context.Context
-	detector    *member.Detector
-	news        gossip.Store
-	rows        gossip.Store
-	rowsChanged time.Time
-	syncing     bool
-	seeds       []member.Seed
-	heardFresh  time.Time      // when another instance has relayed rows last
-	relayed     time.Time      // when this one has
-	unsent      []gossip.Entry // rows to relay
-	flushing    bool           // a relay is due
+	mesh       *Mesh
+	ctx        context.Context
+	detector   *member.Detector
+	news       gossip.Store
+	copies     copies
+	syncing    bool
+	seeds      []member.Seed
+	heardFresh time.Time      // when another instance has relayed rows last
+	relayed    time.Time      // when this one has
+	unsent     []gossip.Entry // rows to relay
+	flushing   bool           // a relay is due
 }
 
 // New returns a mesh for the instance with the identity. A nil dial means TCP.
@@ -108,6 +107,7 @@
 	h := fnv.New64a()
 	h.Write([]byte(m.self.ID)) // never fails
 	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(time.Now().UnixMilli()), h.Sum64()), heardFresh: time.Now()}
+	s.copies.rare = m.source.Rare
 	s.addSeeds(seeds)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -207,7 +207,7 @@
 	if doubts, ok := s.detector.Doubts(to); ok {
 		entries = append(entries, memberEntry(doubts))
 	}
-	return peer.Exchange{From: peer.NewStatus(s.detector.Self()), Entries: entries, Rows: s.rows.Sum()}
+	return peer.Exchange{From: peer.NewStatus(s.detector.Self()), Entries: entries, Rows: s.copies.often.rows.Sum(), Orders: s.copies.rares.rows.Sum()}
 }
 
 // heard takes the message of another instance into account.
@@ -217,10 +217,16 @@
 		s.learn(now, entry)
 	}
 	s.noteMembers()
-	if e.Rows != s.rows.Sum() && now.Sub(s.rowsChanged) >= settleTime && !s.syncing {
-		s.syncing = true
-		go s.mesh.syncRows(s.ctx, e.From.Address)
+	s.compare(now, e.From.Address, e.Orders, e.Rows)
+}
+
+// compare starts a comparison of rows with an instance whose sums differ.
+func (s *state) compare(now time.Time, address string, orders, rows uint64) {
+	if s.syncing || !s.copies.lacks(now, orders, rows) {
+		return
 	}
+	s.syncing = true
+	go s.mesh.syncRows(s.ctx, address)
 }
 
 // noteMembers spreads and passes on what has changed about members.
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -43,8 +43,7 @@
 
 func (s *state) learnRows(entries []gossip.Entry, doubtful bool) {
 	for _, e := range entries {
-		if s.rows.Hold(e) {
-			s.rowsChanged = time.Now()
+		if s.copies.hold(time.Now(), e) {
 			s.mesh.listener.Row(e, doubtful)
 		}
 	}
@@ -93,7 +92,7 @@
 func (m *Mesh) compareRows(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	digest, err := ask(ctx, m, func(s *state) map[string]uint64 { return s.rows.Digest() })
+	digest, err := ask(ctx, m, func(s *state) map[string]uint64 { return s.copies.digest() })
 	if err != nil {
 		return err
 	}
@@ -118,7 +117,7 @@
 func (s *state) held(keys []string) []gossip.Entry {
 	var entries []gossip.Entry
 	for _, key := range keys {
-		if e, ok := s.rows.Get(key); ok {
+		if e, ok := s.copies.get(key); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -160,9 +159,9 @@
 func (h handler) Sync(ctx context.Context, q peer.Sync) (peer.SyncResult, error) {
 	return ask(ctx, h.Mesh, func(s *state) peer.SyncResult {
 		s.learnRows(q.Entries, s.mesh.source.Doubtful())
-		result := peer.SyncResult{Sum: s.rows.Sum()}
+		result := peer.SyncResult{Sum: s.copies.rares.rows.Sum()}
 		if q.Digest != nil {
-			result.Entries, result.Wanted = s.rows.Compare(q.Digest)
+			result.Entries, result.Wanted = s.copies.compare(q.Digest)
 		}
 		return result
 	})
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -35,6 +35,8 @@
 	Fresh() bool
 	// Doubtful reports whether a row that is missing may come back.
 	Doubtful() bool
+	// Rare reports whether a row changes rarely, as operators' rows do.
+	Rare(key string) bool
 	// Reread asks to read from the store what is too large to relay.
 	Reread()
 }
@@ -78,7 +80,7 @@
 		return
 	}
 	s.relayed = now
-	message := peer.Rows{From: s.mesh.self.Address, Sum: s.rows.Sum(), Doubtful: s.mesh.source.Doubtful()}
+	message := peer.Rows{From: s.mesh.self.Address, Orders: s.copies.rares.rows.Sum(), Rows: s.copies.often.rows.Sum(), Doubtful: s.mesh.source.Doubtful()}
 	for _, e := range s.unsent {
 		if len(e.Data) >= largeRow {
 			message.Reread = true
@@ -108,14 +110,11 @@
 		now := time.Now()
 		s.heardFresh = now
 		s.learnRows(message.Entries, message.Doubtful)
-		switch {
-		case message.Reread:
+		if message.Reread {
 			s.mesh.source.Reread()
-			s.rowsChanged = now
-		case message.Sum != s.rows.Sum() && now.Sub(s.rowsChanged) >= settleTime && !s.syncing:
-			s.syncing = true
-			go s.mesh.syncRows(s.ctx, message.From)
+			s.copies.rares.changed = now // time to read it
 		}
+		s.compare(now, message.From, message.Orders, message.Rows)
 		return peer.Done{}
 	})
 }
@@ -123,10 +122,9 @@
 // Hold keeps a row of the store for instances that do not follow it.
 func (m *Mesh) Hold(ctx context.Context, e gossip.Entry) {
 	m.do(ctx, func(s *state) {
-		if !s.rows.Hold(e) {
+		if !s.copies.hold(time.Now(), e) {
 			return
 		}
-		s.rowsChanged = time.Now()
 		s.unsent = append(s.unsent, e)
 		if !s.flushing {
 			s.flushing = true
