--- a/node/mesh/copies.go
+++ b/node/mesh/copies.go
@@ -12,17 +12,17 @@
 // an order of the operators.
 type copies struct {
 	rare  func(key string) bool // set once
-	rares copy
-	often copy
+	rares part
+	often part
 }
 
-// A copy is a part of the rows.
-type copy struct {
+// A part is some of the rows.
+type part struct {
 	rows    gossip.Store
 	changed time.Time
 }
 
-func (c *copies) of(key string) *copy {
+func (c *copies) of(key string) *part {
 	if c.rare(key) {
 		return &c.rares
 	}
@@ -31,11 +31,11 @@
 
 // hold takes a row and reports whether it was newer than the one held.
 func (c *copies) hold(now time.Time, e gossip.Entry) bool {
-	part := c.of(e.Key)
-	if !part.rows.Hold(e) {
+	p := c.of(e.Key)
+	if !p.rows.Hold(e) {
 		return false
 	}
-	part.changed = now
+	p.changed = now
 	return true
 }
 
@@ -47,8 +47,8 @@
 	return c.rares.differs(now, rares) || c.often.differs(now, often)
 }
 
-func (c *copy) differs(now time.Time, sum uint64) bool {
-	return c.rows.Sum() != sum && now.Sub(c.changed) >= settleTime
+func (p *part) differs(now time.Time, sum uint64) bool {
+	return p.rows.Sum() != sum && now.Sub(p.changed) >= settleTime
 }
 
 func (c *copies) digest() map[string]uint64 {
