--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -20,12 +20,6 @@
 	Born     int64         // changes with each start
 }
 
-// Cold is how much cold upstreams of a service bear.
-type Cold struct {
-	For  time.Duration // after a start
-	Rate float64       // requests a second from all instances; 0 means any
-}
-
 // A Fleet is what one instance knows of upstreams. Use New.
 type Fleet struct {
 	instance  string
@@ -38,7 +32,7 @@
 }
 
 type service struct {
-	cold      Cold
+	coldRate  float64     // requests a second that a cold upstream bears; 0 means any
 	upstreams []*upstream // by identifier
 	errors    rate        // of all its upstreams
 	lanes     lanes
@@ -72,8 +66,9 @@
 // Instances returns how many instances share the upstreams.
 func (f *Fleet) Instances() int { return len(f.instances) }
 
-// SetCold sets what cold upstreams of a service bear.
-func (f *Fleet) SetCold(name string, c Cold) { f.service(name).cold = c }
+// SetColdRate sets how many requests a second from all instances a cold upstream
+// of a service bears; 0 means any number.
+func (f *Fleet) SetColdRate(name string, rate float64) { f.service(name).coldRate = rate }
 
 // SetOut takes a failure domain out, or back in.
 func (f *Fleet) SetOut(domain string, out bool) { f.out[domain] = out }
@@ -159,17 +154,6 @@
 	return n
 }
 
-// Versions returns how many upstreams of the service take new work, by version.
-func (f *Fleet) Versions(now time.Time, serviceName string) map[string]int {
-	n := map[string]int{}
-	for _, u := range f.service(serviceName).upstreams {
-		if f.open(now, u) {
-			n[u.Version]++
-		}
-	}
-	return n
-}
-
 // open reports whether the upstream may take new work at all.
 func (f *Fleet) open(now time.Time, u *upstream) bool {
 	return !u.Draining && !u.gone(now) && !f.out[u.Domain]
--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -19,7 +19,6 @@
 	// Key is shared by requests that profit from the same upstream; empty when
 	// none does.
 	Key     string
-	Tokens  int                       // of the prompt and the answer
 	Work    float64                   // of reading the prompt, in tokens of the largest model; 0 without a prompt
 	Avoid   []string                  // upstreams that have had the request
 	Accepts func(version string) bool // nil accepts every version
@@ -31,8 +30,7 @@
 	Cold     bool // the upstream is cold
 	Running  int  // attempts of this instance there, this one included
 
-	u      *upstream
-	tokens int
+	u *upstream
 }
 
 // A Verdict says why no upstream was picked.
@@ -78,16 +76,16 @@
 	if n.Key != "" {
 		u = byKey(able, n.Key)
 	}
-	return f.take(now, u, n), Picked
+	return f.take(now, u), Picked
 }
 
 // bears reports whether a cold upstream bears another request of this instance
 // now.
 func (f *Fleet) bears(now time.Time, s *service, u *upstream) bool {
-	if s.cold.Rate == 0 || !u.cold(now) {
+	if s.coldRate == 0 || !u.cold(now) {
 		return true
 	}
-	return int(u.sent.Sum(now)) < f.coldShare(u, s.cold.Rate)
+	return int(u.sent.Sum(now)) < f.coldShare(u, s.coldRate)
 }
 
 // prefer returns the upstreams that satisfy ok, or all when none does.
@@ -143,13 +141,12 @@
 	return best
 }
 
-func (f *Fleet) take(now time.Time, u *upstream, n Need) *Slot {
+func (f *Fleet) take(now time.Time, u *upstream) *Slot {
 	f.path(u.Domain).try(now, u.ID)
 	u.running++
 	u.sentAll++
-	u.tokens += n.Tokens
 	u.sent.Add(now, 1)
-	return &Slot{Upstream: u.Upstream, Cold: u.cold(now), Running: u.running, u: u, tokens: n.Tokens}
+	return &Slot{Upstream: u.Upstream, Cold: u.cold(now), Running: u.running, u: u}
 }
 
 // An Outcome says how an attempt ended.
@@ -193,7 +190,6 @@
 func (f *Fleet) Release(now time.Time, slot *Slot, o Outcome) {
 	u := slot.u
 	u.running--
-	u.tokens -= slot.tokens
 	s := f.service(u.Service)
 	switch o {
 	case Abandoned:
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -162,7 +162,7 @@
 				known = names[:n-n/5] // has not heard of all yet
 			}
 			fleets[i].SetInstances(known)
-			fleets[i].SetCold("s", Cold{For: time.Hour, Rate: rate})
+			fleets[i].SetColdRate("s", rate)
 			u := up(0)
 			u.Cold = time.Hour
 			fleets[i].Register(start, u)
@@ -203,7 +203,6 @@
 	f.Release(start, s, Answered)
 	f.Sweep(start)
 	is.Equal(f.Len(), 1)
-	is.Equal(f.Versions(start, "s")["v1"], 1)
 }
 
 // TestSmallPromptsDoNotWaitBehindLargeOnes plays a load in which one prompt in
--- a/core/place/upstream.go
+++ b/core/place/upstream.go
@@ -37,7 +37,6 @@
 
 	sentAll   int // attempts so far
 	running   int // attempts of this instance
-	tokens    int // of the prompts and answers of these
 	failures  int // attempts that could not reach it, one after another
 	downUntil time.Time
 	fullUntil time.Time
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -90,15 +90,9 @@
 
 // A Service is a group of upstreams that answer the same requests.
 type Service struct {
-	Name        string
-	HealthPath  string
-	MaxConns    int                // that one upstream accepts from all callers
-	ColdFor     time.Duration      // after a start
-	ColdRate    float64            // requests a second that a cold upstream bears; 0 means any
-	Engine      bool               // runs models in batches
-	Slots       int                // requests that an engine runs at once
-	CacheTokens int                // memory of an engine
-	Costs       map[string]float64 // of each model, for 1,000 generated tokens
+	Name     string
+	ColdRate float64            // requests a second that a cold upstream bears; 0 means any
+	Costs    map[string]float64 // of each model, for 1,000 generated tokens; nil for a plain service
 }
 
 // An Organisation owns API keys.
@@ -111,10 +105,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // A Table is one version of the configuration. Use New.
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -33,8 +33,7 @@
 
 // A Prompt is what an engine has to read.
 type Prompt struct {
-	Tokens int    // of the prompt
-	Answer int    // most tokens of the answer
+	Tokens int    // of the whole prompt
 	Parts  []Part // in order; the last one belongs to this request or its session
 }
 
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	for _, s := range t.Services {
-		r.fleet.SetCold(s.Name, place.Cold{For: s.ColdFor, Rate: s.ColdRate})
+		r.fleet.SetColdRate(s.Name, s.ColdRate)
 	}
 	r.table.Store(t)
 	return true
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -156,7 +156,6 @@
 	return place.Need{
 		Service: q.Service,
 		Key:     q.Prompt.Key(),
-		Tokens:  q.Prompt.Tokens + q.Prompt.Answer,
 		Work:    e.work(),
 		Avoid:   e.tried,
 	}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -52,7 +52,8 @@
 	follows := elected || now.Sub(s.heardFresh) > freshTime
 	if follows != was {
 		s.mesh.follows.Store(follows)
-		s.mesh.log.Line("store-following").Bool("follows", follows).Bool("elected", elected).Millis("heard-ms", now.Sub(s.heardFresh)).End()
+		s.mesh.log.Line("store-following").Bool("follows", follows).Bool("elected", elected).Millis("heard-ms", now.Sub(s.heardFresh)).
+			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
 	if elected && now.Sub(s.relayed) >= relayInterval {
 		s.sendRows(now)
