node/mesh, platform, io/peer: fewer calls to the store

Counted by call and instance in a trial: (a) each change of a large configuration was read by every instance (80 reads a change, each repeated where the store refused); (b) while the store failed, no instance was relaying, so that all 80 called it, for three tables each; (c) a start took ten calls, since an instance that does not know the others yet follows the store; (d) registrations were asked for every 0.25 s by instances that are cut off from the others. Ruled out: the followers themselves, 2 of 27 in a failure domain, make few calls. Change: rows are relayed compressed, and read from the store only above 32 KiB; instances take over from those that follow the store one after another, and relay in their place; while the store fails only calls about the operators' table go on; an instance that starts waits 1.5 s before it may follow, and is told all members at its first contact. TestOutageBringsFewCalls, TestLargeConfigurationIsRelayed and TestStartTakesFewCalls fail before.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -83,12 +83,13 @@
 // Rows tells an instance that does not follow the platform's store what has
 // changed there.
 type Rows struct {
-	From     string         `json:"from"`   // address of the sender
-	Orders   uint64         `json:"orders"` // as in Exchange
-	Rows     uint64         `json:"rows"`   // as in Exchange
-	Entries  []gossip.Entry `json:"entries,omitempty"`
-	Doubtful bool           `json:"doubtful,omitempty"` // rows that are missing may come back
-	Reread   bool           `json:"reread,omitempty"`   // a row is too large to be told
+	From     string `json:"from"`   // address of the sender
+	Orders   uint64 `json:"orders"` // as in Exchange
+	Rows     uint64 `json:"rows"`   // as in Exchange
+	Entries  Bundle `json:"entries,omitempty"`
+	Rank     uint64 `json:"rank"`               // of the sender; the highest that can relays to all
+	Doubtful bool   `json:"doubtful,omitempty"` // rows that are missing may come back
+	Reread   bool   `json:"reread,omitempty"`   // rows are too large to be told
 }
 
 // A RulesQuery asks for the configuration in force.
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -75,6 +75,7 @@
 	copies     copies
 	syncing    bool
 	seeds      []member.Seed
+	started    time.Time
 	heardFresh time.Time      // when another instance has relayed rows last
 	relayed    time.Time      // when this one has
 	unsent     []gossip.Entry // rows to relay
@@ -84,7 +85,6 @@
 // New returns a mesh for the instance with the identity. A nil dial means TCP.
 func New(self member.Identity, l Listener, source Source, log *jsonlog.Logger, dial tcp.Dial) *Mesh {
 	m := &Mesh{self: self, listener: l, source: source, log: log, calls: make(chan func(*state), backlog)}
-	m.follows.Store(true)
 	m.client = peer.NewClient(dial, nil, &m.traffic)
 	return m
 }
@@ -106,7 +106,8 @@
 func (m *Mesh) own(ctx context.Context, seeds []string) {
 	h := fnv.New64a()
 	h.Write([]byte(m.self.ID)) // never fails
-	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(time.Now().UnixMilli()), h.Sum64()), heardFresh: time.Now()}
+	now := time.Now()
+	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(now.UnixMilli()), h.Sum64()), started: now, heardFresh: now}
 	s.copies.rare = m.source.Rare
 	s.addSeeds(seeds)
 	ticker := time.NewTicker(tickInterval)
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// memberEntries returns what an instance that has just started is told: all
+// members. What has been spread to everybody before is not spread again.
+func (s *state) memberEntries() []gossip.Entry {
+	var entries []gossip.Entry
+	for _, m := range s.detector.Members() {
+		if m.State < member.Gone {
+			entries = append(entries, memberEntry(m))
+		}
+	}
+	return entries
+}
+
 func (s *state) learnRows(entries []gossip.Entry, doubtful bool) {
 	for _, e := range entries {
 		if s.copies.hold(time.Now(), e) {
@@ -133,6 +145,9 @@
 		// What this instance doubts is read before the probe itself counts as a
 		// sign of life.
 		answer := s.message(e.From.ID)
+		if _, known := s.detector.Get(e.From.ID); !known {
+			answer.Entries = append(answer.Entries, s.memberEntries()...)
+		}
 		s.heard(time.Now(), e)
 		answer.From = peer.NewStatus(s.detector.Self())
 		return answer
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -23,10 +23,16 @@
 	// freshTime is how long an instance that hears nothing waits before it
 	// follows the store itself: two relays and some delay.
 	freshTime = 1300 * time.Millisecond
-	// largeRow is the size from which on a row is not relayed but read from the
-	// store by each instance: relays of it would fill the link of a small
-	// machine.
-	largeRow = 8 << 10
+	// takeOver is how much longer each further instance waits before it follows
+	// the store in place of those that should: a call to the store and a relay.
+	takeOver = 300 * time.Millisecond
+	// joinTime is how long an instance that starts waits until it knows the
+	// others.
+	joinTime = 1500 * time.Millisecond
+	// largeBundle is the compressed size from which on rows are not relayed but
+	// read from the store by each instance: relays to a failure domain of thirty
+	// instances would fill a link of 10 Mbit/s for more than a second.
+	largeBundle = 32 << 10
 )
 
 // A Source is an instance's own view of the store.
@@ -47,31 +53,41 @@
 
 // relay keeps the relays going. It runs with every tick.
 func (s *state) relay(now time.Time) {
-	elected := s.elected()
+	behind := s.behind()
 	was := s.mesh.follows.Load()
-	follows := elected || now.Sub(s.heardFresh) > freshTime
+	follows := now.Sub(s.started) >= joinTime && (behind < followers || now.Sub(s.heardFresh) > patience(behind))
 	if follows != was {
 		s.mesh.follows.Store(follows)
-		s.mesh.log.Line("store-following").Bool("follows", follows).Bool("elected", elected).Millis("heard-ms", now.Sub(s.heardFresh)).
+		s.mesh.log.Line("store-following").Bool("follows", follows).Int("behind", int64(behind)).Millis("heard-ms", now.Sub(s.heardFresh)).
 			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
-	if elected && now.Sub(s.relayed) >= relayInterval {
+	if follows && now.Sub(s.relayed) >= relayInterval {
 		s.sendRows(now)
 	}
 }
 
-// elected reports whether this instance is among those of its failure domain
-// that follow the store for the others. All of them order themselves alike.
-func (s *state) elected() bool {
-	own := xxhash.Sum64String(s.mesh.self.Instance)
+// patience returns how long an instance behind so many others hears nothing
+// until it follows the store itself. They take over one after another, so that
+// an outage does not bring all of them to the store at once.
+func patience(behind int) time.Duration {
+	return freshTime + time.Duration(max(0, behind-followers))*takeOver
+}
+
+// rank orders the instances of a failure domain; all of them order themselves
+// alike.
+func rank(instance string) uint64 { return xxhash.Sum64String(instance) }
+
+// behind returns how many live instances of the own failure domain have a higher
+// rank. The first of them follow the store for the others.
+func (s *state) behind() int {
+	own := rank(s.mesh.self.Instance)
 	ahead := 0
 	for _, m := range s.detector.Members() {
-		if m.State == member.Live && m.FailureDomain == s.mesh.self.FailureDomain && m.Instance != s.mesh.self.Instance &&
-			xxhash.Sum64String(m.Instance) > own {
+		if m.State == member.Live && m.FailureDomain == s.mesh.self.FailureDomain && m.Instance != s.mesh.self.Instance && rank(m.Instance) > own {
 			ahead++
 		}
 	}
-	return ahead < followers
+	return ahead
 }
 
 // sendRows relays the rows that have changed since the last relay, and that
@@ -81,13 +97,17 @@
 		return
 	}
 	s.relayed = now
-	message := peer.Rows{From: s.mesh.self.Address, Orders: s.copies.rares.rows.Sum(), Rows: s.copies.often.rows.Sum(), Doubtful: s.mesh.source.Doubtful()}
-	for _, e := range s.unsent {
-		if len(e.Data) >= largeRow {
-			message.Reread = true
-			continue
-		}
-		message.Entries = append(message.Entries, e)
+	message := peer.Rows{
+		From: s.mesh.self.Address, Rank: rank(s.mesh.self.Instance), Doubtful: s.mesh.source.Doubtful(),
+		Orders: s.copies.rares.rows.Sum(), Rows: s.copies.often.rows.Sum(),
+	}
+	bundle, err := peer.NewBundle(s.unsent)
+	if err != nil {
+		s.mesh.log.Line("rows-not-relayed").Int("rows", int64(len(s.unsent))).Err(err).End()
+	}
+	message.Reread = err != nil || len(bundle) >= largeBundle
+	if !message.Reread {
+		message.Entries = bundle
 	}
 	s.unsent = nil
 	for _, m := range s.detector.Members() {
@@ -107,10 +127,15 @@
 
 // Rows implements peer.Handler's relay.
 func (h handler) Rows(ctx context.Context, message peer.Rows) (peer.Done, error) {
+	entries, err := message.Entries.Entries()
+	if err != nil {
+		h.log.Line("news-rejected").Str("key", "rows of "+message.From).Err(err).End()
+		return peer.Done{}, err
+	}
 	return ask(ctx, h.Mesh, func(s *state) peer.Done {
 		now := time.Now()
-		s.heardFresh = now
-		s.learnRows(message.Entries, message.Doubtful)
+		s.heardRows(now, message.Rank)
+		s.learnRows(entries, message.Doubtful)
 		if message.Reread {
 			s.mesh.source.Reread()
 			s.copies.rares.changed = now // time to read it
@@ -120,6 +145,14 @@
 	})
 }
 
+// heardRows notes a relay. Of two instances that follow the store in place of
+// others the one with the higher rank goes on.
+func (s *state) heardRows(now time.Time, sender uint64) {
+	if sender > rank(s.mesh.self.Instance) || !s.mesh.follows.Load() || !s.mesh.source.Fresh() {
+		s.heardFresh = now
+	}
+}
+
 // Hold keeps a row of the store for instances that do not follow it.
 func (m *Mesh) Hold(ctx context.Context, e gossip.Entry) {
 	m.do(ctx, func(s *state) {
@@ -139,7 +172,7 @@
 
 func (s *state) flush() {
 	s.flushing = false
-	if s.elected() {
+	if s.mesh.follows.Load() {
 		s.sendRows(time.Now())
 	} else {
 		s.unsent = nil
