--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -25,12 +25,8 @@
 	// falseStop is the chance that one test of one segment stops a version that
 	// is no worse than tolerated.
 	falseStop = 0.0004
-	// tolerance is added to the old version's rate of bad outcomes.
-	tolerance = 0.01
 	// floor is the rate of bad outcomes that no version is blamed for.
 	floor = 0.02
-	// worse is the difference of the rates that the test looks for.
-	worse = 0.10
 	// StepRequests is the number of requests to the new version that a step
 	// needs.
 	StepRequests = 100
@@ -43,17 +39,27 @@
 	StepTime = 2 * time.Minute
 )
 
+// A Bar says how much worse than the old version the new one may be, and is not.
+type Bar struct {
+	Tolerance float64 // added to the old version's rate of bad outcomes
+	Worse     float64 // difference from the tolerated rate that a test looks for
+}
+
+// Usual is the bar for outcomes that nothing but the version decides.
+var Usual = Bar{Tolerance: 0.01, Worse: 0.10}
+
 // An Arm is the evidence about one version. Each count is of bad and good
 // outcomes.
 type Arm struct {
 	Errors  tally.Counts `json:"errors"`  // Bad: not answered
 	Latency tally.Counts `json:"latency"` // Bad: first token later than SlowAfter
 	Ratings tally.Counts `json:"ratings"` // Bad: did not suffice
+	Pace    tally.Counts `json:"pace"`    // Bad: events of a stream far apart
 }
 
 // Plus returns the sum of two arms.
 func (a Arm) Plus(o Arm) Arm {
-	return Arm{Errors: a.Errors.Plus(o.Errors), Latency: a.Latency.Plus(o.Latency), Ratings: a.Ratings.Plus(o.Ratings)}
+	return Arm{Errors: a.Errors.Plus(o.Errors), Latency: a.Latency.Plus(o.Latency), Ratings: a.Ratings.Plus(o.Ratings), Pace: a.Pace.Plus(o.Pace)}
 }
 
 // Evidence is the evidence about both versions: about the new one since the
@@ -111,14 +117,17 @@
 type test struct {
 	name     string
 	new, old tally.Counts
+	bar      Bar
 }
 
 // Verdict returns why the new version is bad, or "" while it isn't known to be.
-func Verdict(e Evidence) string {
+// slow and paced are the bars for slow first tokens and for slow streams.
+func Verdict(e Evidence, slow, paced Bar) string {
 	tests := [...]test{
-		{name: "errors", new: e.New.Errors, old: e.Old.Errors},
-		{name: "slow first tokens", new: e.New.Latency, old: e.Old.Latency},
-		{name: "insufficient answers", new: e.New.Ratings, old: e.Old.Ratings},
+		{name: "errors", new: e.New.Errors, old: e.Old.Errors, bar: Usual},
+		{name: "slow first tokens", new: e.New.Latency, old: e.Old.Latency, bar: slow},
+		{name: "slow streams", new: e.New.Pace, old: e.Old.Pace, bar: paced},
+		{name: "insufficient answers", new: e.New.Ratings, old: e.Old.Ratings, bar: Usual},
 	}
 	for _, t := range tests {
 		if t.bad() {
@@ -131,8 +140,8 @@
 // bad reports whether the likelihood of the outcomes under a rate that is worse
 // by the given difference exceeds that under a tolerated rate.
 func (t *test) bad() bool {
-	p0 := min(max(upper(t.old), floor)+tolerance, 1-2*worse)
-	p1 := p0 + worse
+	p0 := min(max(upper(t.old), floor)+t.bar.Tolerance, 1-2*t.bar.Worse)
+	p1 := p0 + t.bar.Worse
 	ratio := float64(t.new.Bad)*math.Log(p1/p0) + float64(t.new.Good)*math.Log((1-p1)/(1-p0))
 	return ratio > math.Log(1/falseStop)
 }
@@ -153,7 +162,7 @@
 	if s.Stopped != "" || s.Done {
 		return s, false
 	}
-	if why := Verdict(e); why != "" {
+	if why := Verdict(e, Usual, Usual); why != "" {
 		return State{Step: s.Step, Segment: s.Segment, Stopped: why, Since: now}, true
 	}
 	if hold {
--- a/node/exchange/observe.go
+++ b/node/exchange/observe.go
@@ -58,6 +58,9 @@
 	if len(e.models) > 0 {
 		line.Str("model", e.models[e.model]).Bool("escalated", end.escalate)
 	}
+	if end.pace > 0 {
+		line.Millis("pace-ms", end.pace)
+	}
 	line.Str("after", e.after).Err(end.err).End()
 }
 
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -35,6 +35,10 @@
 	// are told to wait. It is random, so that they do not return together.
 	retryAfterLeast  = 300 * time.Millisecond
 	retryAfterSpread = 700 * time.Millisecond
+	// paceEvents is the number of events behind the first after which a stream
+	// shows how fast its upstream generates: fewer could all have waited for one
+	// prompt.
+	paceEvents = 8
 	// minLeft is the least time worth another attempt.
 	minLeft = 20 * time.Millisecond
 )
@@ -118,6 +122,7 @@
 	lost     bool // the upstream can no longer be reached
 	took     time.Duration
 	first    time.Duration // until the first event or the answer; 0 when there was none
+	pace     time.Duration // between the first events; 0 when there were too few
 	status   int
 }
 
@@ -211,7 +216,7 @@
 	}
 	defer answer.Close()
 	head := time.Since(begin)
-	end := e.receive(ctx, answer)
+	end := e.receive(ctx, answer, slot)
 	end.took = time.Since(begin)
 	end.status = answer.Head().Status
 	if end.outcome == place.Answered {
@@ -241,7 +246,7 @@
 }
 
 // receive takes an answer whose head has arrived.
-func (e *execution) receive(ctx context.Context, answer Answer) ending {
+func (e *execution) receive(ctx context.Context, answer Answer, slot *place.Slot) ending {
 	head := answer.Head()
 	switch {
 	case head.Misdirected:
@@ -251,7 +256,7 @@
 	case head.Status >= http.StatusInternalServerError:
 		return e.failed(ctx, answer)
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
-		return e.stream(ctx, answer)
+		return e.stream(ctx, answer, slot)
 	}
 	body, err := answer.Whole(maxWholeBytes)
 	if err != nil {
@@ -282,19 +287,30 @@
 }
 
 // stream relays events until the stream is complete.
-func (e *execution) stream(ctx context.Context, answer Answer) ending {
+func (e *execution) stream(ctx context.Context, answer Answer, slot *place.Slot) ending {
 	if e.escalates(answer.Head()) {
 		return ending{outcome: place.Answered, escalate: true, err: errors.New("a larger model is to answer")}
 	}
 	gap := time.Duration(gapPart * float64(e.request.Route.GapTarget))
-	for {
+	var firstAt time.Time
+	var pace time.Duration
+	for events := 0; ; events++ {
 		event, err := answer.Next(gap)
 		if errors.Is(err, io.EOF) {
-			return e.complete(answer.Head())
+			end := e.complete(answer.Head())
+			end.pace = pace
+			return end
 		}
 		if err != nil {
 			return e.unread(ctx, err)
 		}
+		switch events {
+		case 0:
+			firstAt = time.Now()
+		case paceEvents:
+			pace = time.Since(firstAt) / paceEvents
+			e.router.learnPace(e, slot, pace)
+		}
 		if err := e.deliver(answer.Head(), event); err != nil {
 			return ending{outcome: place.Abandoned, err: err}
 		}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -158,7 +158,7 @@
 	if t == nil || end.notRun || end.outcome == place.Abandoned {
 		return
 	}
-	o := trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: e.kind(), Latency: end.first}
+	o := trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: e.kind(), Took: end.first}
 	o.Failed = end.outcome == place.Failed || end.outcome == place.Broken
 	if o.Failed && o.New {
 		// The next attempt goes to the version that is known to work.
@@ -169,6 +169,17 @@
 	}
 }
 
+// learnPace adds how fast a stream arrives to what is known of its version,
+// while it goes on: a slow one ends too late to be a warning.
+func (r *Router) learnPace(e *execution, s *place.Slot, pace time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.trials[e.request.Service]
+	if t != nil && t.NotePace(trial.Outcome{New: s.Upstream.Version == t.Order.To, Kind: e.kind(), Took: pace}) {
+		r.trialStopped(t)
+	}
+}
+
 // sessionMemory is how long a session is remembered after its last request.
 const sessionMemory = 30 * time.Second
 
