--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -106,11 +106,16 @@
 	Organisation *routing.Organisation // nil on public routes
 }
 
+// notReadyPause is when a caller is told to come back to an instance that has no
+// configuration yet: it reads it within a tenth of a second of its start, unless
+// the store is away.
+const notReadyPause = 250 * time.Millisecond
+
 // Match finds the route and the organisation of a request.
 func (r *Router) Match(host, path, key string) (Match, *refusal.Error) {
 	t := r.table.Load()
 	if t == nil {
-		return Match{}, refusal.New(refusal.NotReady, "send the request again after the time in Retry-After", "this instance has no configuration yet").After(time.Second)
+		return Match{}, refusal.New(refusal.NotReady, "send the request again after the time in Retry-After", "this instance has no configuration yet").After(notReadyPause)
 	}
 	m := Match{Table: t, Route: t.Route(host, path)}
 	if m.Route == nil {
