--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"banyanyard/core/place"
@@ -246,6 +247,46 @@
 	is.Equal(len(asked), 1)
 }
 
+// TestRequestsWaitUntilUpstreamsAreKnown plays an instance that has its
+// configuration and still reads the registrations.
+func TestRequestsWaitUntilUpstreamsAreKnown(t *testing.T) {
+	tests := []struct {
+		name  string
+		known bool
+		want  refusal.Kind // empty for an answer
+	}{
+		{name: "not known yet"},
+		{name: "known to be none", known: true, want: refusal.NoUpstream},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRouter(0)
+				defer r.Log.Close()
+				if tt.known {
+					r.UpstreamsKnown()
+				}
+				r.Transport = transportFunc(func(*Attempt) (Answer, error) { return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil })
+				time.AfterFunc(300*time.Millisecond, func() {
+					r.Fleet(func(now time.Time, f *place.Fleet) { f.Register(now, place.Upstream{ID: "u", Service: "s"}) })
+				})
+				begin := time.Now()
+				q := &Request{ID: "1", Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3, Target: time.Second}, Service: "s", Arrived: begin, Deadline: begin.Add(time.Minute)}
+				err := r.Run(context.Background(), q, &fakeOutput{})
+				var refused *refusal.Error
+				if errors.As(err, &refused) {
+					is.Equal(refused.Kind, tt.want)
+					is.Equal(time.Since(begin), time.Duration(0)) // at once
+				} else {
+					is.NoErr(err)
+					is.Equal(tt.want, refusal.Kind(""))
+				}
+			})
+		})
+	}
+}
+
 type transportFunc func(a *Attempt) (Answer, error)
 
 func (f transportFunc) Send(_ context.Context, a *Attempt) (Answer, error) { return f(a) }
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -34,6 +34,8 @@
 	instance string
 	table    atomic.Pointer[routing.Table]
 	news     chan gossip.Entry // for the other instances
+	// upstreamsKnown says that all registrations have been read since the start.
+	upstreamsKnown atomic.Bool
 
 	mu       sync.Mutex
 	fleet    *place.Fleet            // guarded by mu
@@ -92,6 +94,10 @@
 	return true
 }
 
+// UpstreamsKnown says that all registrations have been read. Before that a
+// request that finds no upstream waits for one for a while.
+func (r *Router) UpstreamsKnown() { r.upstreamsKnown.Store(true) }
+
 // Fleet calls f with the upstreams that the router knows.
 func (r *Router) Fleet(f func(now time.Time, fleet *place.Fleet)) {
 	r.mu.Lock()
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -139,7 +139,8 @@
 			e.tried = nil
 			continue
 		}
-		if verdict == place.None || time.Now().After(until) {
+		// Until the upstreams are known, none may only mean not yet.
+		if verdict == place.None && e.router.upstreamsKnown.Load() || time.Now().After(until) {
 			return nil, e.refuse(verdict)
 		}
 		if err := sleep(ctx, busyPause); err != nil {
