--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -263,25 +263,22 @@
 // Note adds the outcome of an attempt to the evidence, and stops the trial when
 // it proves the new version bad. It reports whether it did.
 func (t *Trial) Note(o Outcome) bool {
-	if t.state != Running {
-		return false
-	}
-	e := t.own[o.Kind]
-	arm := &e.Old
-	if o.New {
-		arm = &e.New
-	}
-	count(&arm.Errors.Bad, &arm.Errors.Good, o.Failed)
-	if !o.Failed {
-		compare(t.means, &arm.Latency, o, slowFactor)
-	}
-	t.own[o.Kind] = e
-	return o.New && t.judge()
+	return t.note(o, func(a *rollout.Arm) {
+		count(&a.Errors.Bad, &a.Errors.Good, o.Failed)
+		if !o.Failed {
+			compare(t.means, &a.Latency, o, slowFactor)
+		}
+	})
 }
 
 // NotePace adds the time between the first events of a stream, which may go on,
 // to the evidence. It reports whether that stopped the trial.
 func (t *Trial) NotePace(o Outcome) bool {
+	return t.note(o, func(a *rollout.Arm) { compare(t.paces, &a.Pace, o, paceFactor) })
+}
+
+// note lets f add to the evidence about a version.
+func (t *Trial) note(o Outcome, f func(*rollout.Arm)) bool {
 	if t.state != Running {
 		return false
 	}
@@ -290,7 +287,7 @@
 	if o.New {
 		arm = &e.New
 	}
-	compare(t.paces, &arm.Pace, o, paceFactor)
+	f(arm)
 	t.own[o.Kind] = e
 	return o.New && t.judge()
 }
