--- a/node/mesh/copies_test.go
+++ b/node/mesh/copies_test.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/member"
 	_ "banyanyard/core/seeded"
 
 	"github.com/matryer/is"
@@ -126,3 +129,22 @@
 	is.Equal(len(missing), 0)
 	is.Equal(wanted, []string{"op/config"})
 }
+
+// TestOneOfTwoTakesOver plays two instances that follow the store in place of
+// others, and hear of each other.
+func TestOneOfTwoTakesOver(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b"}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	later := start.Add(time.Second)
+	for i, name := range names {
+		s := &state{mesh: &Mesh{self: member.Identity{Instance: name}, source: source{fresh: true}}, heardFresh: start}
+		s.mesh.follows.Store(true)
+		s.heardRows(later, rank(names[1-i]))
+		is.Equal(s.heardFresh == later, i == 1) // the one behind may stop
+		s.mesh.follows.Store(false)
+		s.heardRows(later, 0)
+		is.Equal(s.heardFresh, later) // who does not follow the store hears anybody
+	}
+	is.Equal(patience(followers+1)-patience(followers), takeOver)
+}
