--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -27,8 +27,8 @@
 	// the store in place of those that should: a call to the store and a relay.
 	takeOver = 300 * time.Millisecond
 	// joinTime is how long an instance that starts waits until it knows the
-	// others.
-	joinTime = 1500 * time.Millisecond
+	// others: two looks at what is to be probed, and their answers.
+	joinTime = 500 * time.Millisecond
 	// largeBundle is the compressed size from which on rows are not relayed but
 	// read from the store by each instance: relays to a failure domain of thirty
 	// instances would fill a link of 10 Mbit/s for more than a second.
