io/http1: bound response heads and discarded bodies

Cause: http.ReadResponse reads header lines without end, so an upstream that never ends its head made the client hold 1.2 GB in 5 s, more than the smallest instance has. The body of a response to another request was discarded up to the deadline, and informational responses counted as responses to other requests. Ruled out: the framing of bodies (chunk sizes, extensions, trailers), which net/http bounds; tests show it. Change: ResponseReader limits a head, informational responses included, to 64 KiB, and discards at most 64 KiB of a body that is not wanted. Measured: TestEndlessResponseIsRejected, 7 of 10 cases failed before (the connection was read until the deadline), none after; TestInformationalResponsesAreSkipped failed before, passes.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -6,11 +6,11 @@
 //   - a connection carries one request at a time, and is kept only if its
 //     response was read to the end and nothing follows it;
 //   - an idle connection with bytes pending is closed, never reused;
-//   - an incomplete response is an error.
+//   - an incomplete response is an error;
+//   - a response that cannot be one is rejected after a bounded number of bytes.
 package http1
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -112,7 +112,7 @@
 // A conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader        *bufio.Reader
+	reader        *ResponseReader
 	address       string
 	reused        bool
 	usableUntil   time.Time     // when the idle connection expires
@@ -160,7 +160,7 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	return &conn{Conn: raw, reader: NewResponseReader(raw, readBufferBytes), address: address}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil. It
@@ -243,17 +243,15 @@
 	}
 	request := &http.Request{Method: r.Method}
 	for range maxMismatched {
-		response, err := http.ReadResponse(cn.reader, request)
+		response, err := cn.reader.ReadResponse(request)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
 		if r.EchoValue == "" || response.Header.Get(r.EchoName) == r.EchoValue {
 			return response, cn.SetDeadline(time.Time{})
 		}
-		if response.StatusCode >= http.StatusOK {
-			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-				break
-			}
+		if !discard(response) {
+			break
 		}
 	}
 	return nil, errors.New("received only responses to other requests")
