io/engine: bound heads, end streams without data, check idle connections

Cause: engines' heads were read without a bound; any line, comments included, extended the timeout of the next chunk, so a stream that trickles comments lasted until the deadline; an idle connection was used again without a look at what had arrived on it, so that a late second copy of a response met the next attempt (found by its id, but the attempt was lost). Ruled out: cutting slow streams; TestSlowStreamIsReadToItsEnd passed before and after. Change: heads are read by http1.ResponseReader; only data extends the timeout, and at most 1 MiB without data is skipped; an idle connection with unread bytes is closed. Measured: TestEndlessResponseEnds 4 of 6 cases failed before, none after; TestLateCopyOnIdleConnection failed before, passes.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -13,6 +12,7 @@
 	"sync"
 	"time"
 
+	"banyanyard/io/http1"
 	"banyanyard/io/tcp"
 )
 
@@ -108,12 +108,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: a.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &conn{Conn: raw, address: a.Address, reader: http1.NewResponseReader(raw, readBufferBytes)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
-// It closes connections that have been idle for idleTimeout or whose address is
-// not the given one.
+// It closes connections that have been idle for idleTimeout, whose address is not
+// the given one, that were closed or that have unread bytes.
 func (c *Client) takeIdle(upstream, address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +123,7 @@
 		cn := idle[last]
 		idle = idle[:last]
 		c.idle[upstream] = idle
-		if time.Since(cn.idleSince) < idleTimeout && cn.address == address {
+		if time.Since(cn.idleSince) < idleTimeout && cn.address == address && tcp.Reusable(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
--- a/io/engine/conn.go
+++ b/io/engine/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"banyanyard/io/http1"
 )
 
 const writeBufferBytes = 4 << 10
@@ -16,7 +18,7 @@
 type conn struct {
 	net.Conn
 	address       string
-	reader        *bufio.Reader
+	reader        *http1.ResponseReader
 	reused        bool
 	idleSince     time.Time
 	detachContext func() bool // stops the attempt's context from closing the connection
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, request)
+	return c.reader.ReadResponse(request)
 }
 
 // setTimeout makes reads and writes fail after d; zero means no timeout.
--- a/io/engine/response.go
+++ b/io/engine/response.go
@@ -30,6 +30,9 @@
 	idField    = []byte("id:")
 	doneMarker = []byte("[DONE]")
 	idKey      = []string{"id"}
+
+	errLineTooLong = errors.New("a line of the event stream exceeds 1 MiB")
+	errNoData      = errors.New("the event stream has more than 1 MiB without data")
 )
 
 // A Response is an engine's response to one attempt. It is not safe for
@@ -91,15 +94,20 @@
 // Next returns the data of the next chunk of a stream, without the event's
 // framing. The slice is valid until the following call. It returns io.EOF only
 // after the engine's [DONE] marker; a stream that ends without it is an error.
+// Lines without data, such as comments, do not extend the chunk's timeout.
 func (r *Response) Next() ([]byte, error) {
+	r.extendDeadline()
+	skipped := 0
 	for {
-		r.extendDeadline()
 		line, err := r.readLine()
 		if err != nil {
 			return nil, r.readError(err)
 		}
 		data, ok := bytes.CutPrefix(line, dataField)
 		if !ok {
+			if skipped += len(line); skipped > maxLineBytes {
+				return nil, r.readError(errNoData)
+			}
 			r.recordEventID(line)
 			continue
 		}
@@ -146,7 +154,7 @@
 	long := append([]byte(nil), line...)
 	for errors.Is(err, bufio.ErrBufferFull) {
 		if len(long) > maxLineBytes {
-			return nil, errors.New("event stream line exceeds 1 MiB")
+			return nil, errLineTooLong
 		}
 		line, err = r.reader.ReadSlice('\n')
 		long = append(long, line...)
