node: count crashes on reused connections

Cause: an engine that crashes on a reused connection before it answers looks like one that has closed an idle connection, which does not count as a broken run. A request that met reused connections only was never refused: TestCrashingRequestIsRefusedByEveryInstance failed when the second attempt got one (traced with the counts of all instances: one broken run of two). Ruled out: the tentative refusal that lapses after 10 s (the failing run took 2.3 s), counts lost between instances (all had the same). Change: a request's further attempts, and all of a suspect, use new connections, on which a break is never stale.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -96,10 +96,13 @@
 	}
 }
 
-// getConn returns an idle connection or opens a new one.
+// getConn returns an idle connection, or opens a new one if there is none or the
+// attempt asks for it.
 func (c *Client) getConn(ctx context.Context, a Attempt) (*conn, error) {
-	if cn := c.takeIdle(a.Upstream, a.Address); cn != nil {
-		return cn, nil
+	if !a.NewConn {
+		if cn := c.takeIdle(a.Upstream, a.Address); cn != nil {
+			return cn, nil
+		}
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -40,6 +40,9 @@
 	// wait for each chunk.
 	FirstByteTimeout time.Duration
 	ChunkTimeout     time.Duration
+	// NewConn makes the attempt use a new connection instead of an idle one, so
+	// that a BrokenError of the attempt is never Stale.
+	NewConn bool
 	// Timeout is the time left until the caller's deadline, sent to the engine in
 	// HeaderTimeout. Zero omits the header.
 	Timeout time.Duration
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -135,6 +135,8 @@
 	a.engineAttempt = engine.Attempt{
 		ID: rand.Text(), Upstream: u.ID, Address: u.Address, Target: a.target, Body: body, Stream: stream,
 		ChunkTimeout: time.Duration(timeouts.Gap),
+		// After a failure, a crash must be told from the end of an idle connection.
+		NewConn: a.completion.attempts > 1 || a.completion.isSuspect(),
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		a.engineAttempt.Timeout = time.Until(deadline)
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -38,6 +38,31 @@
 	})
 }
 
+// TestCrashOnReusedConnectionsIsCounted sends the request through an instance that
+// has idle connections to all engines. A crash then looks like an engine that has
+// closed an idle connection.
+func TestCrashOnReusedConnectionsIsCounted(t *testing.T) {
+	scenario(t, func(d *deployment) {
+		var callers sync.WaitGroup
+		for i := range 30 {
+			callers.Go(func() {
+				d.sendUntilAnswered(request{node: 0, body: completionBody("small", fmt.Sprintf("innocent %d", i), false)})
+			})
+		}
+		callers.Wait()
+		d.setFaults("small", enginefake.Faults{CrashOnPrompt: "poison"})
+		d.send(request{node: 0, body: completionBody("small", "poison", false)})
+		time.Sleep(3 * time.Second)
+		before := d.ran("small")
+		for i := range 3 {
+			r := d.send(request{node: i, body: completionBody("small", "poison", false)})
+			d.is.Equal(r.status, 422)
+			d.is.Equal(r.problem.Run, "not-run")
+		}
+		d.is.Equal(d.ran("small"), before)
+	})
+}
+
 // sendUntilAnswered sends a request, and repeats it after the time in Retry-After
 // while it is refused. It reports a test error after 30 s.
 func (d *deployment) sendUntilAnswered(r request) {
