io/service: no response is taken for that to another call

Cause: http.Transport matches responses to calls by their order alone. A second copy of a response that arrived after the next call had been sent on a kept connection became that call's response: wrong answer, also for calls that are not idempotent. Ruled out: copies on idle connections, which the transport notices. Change: calls go through http1.Client, which compares the ID that the service repeats. Connections are reused only by idempotent calls, and only to services that repeat it (X-Request-Id); others cannot be told apart and get a connection of their own. One client less: the transport's own is gone.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -90,6 +90,9 @@
 	// response with another value belongs to another request. An empty EchoValue
 	// disables the check.
 	EchoName, EchoValue string
+	// EchoOptional accepts a response without the field on a new connection, which
+	// is then not reused: a late copy of the response could not be recognised.
+	EchoOptional bool
 	// HeadTimeout bounds the time from the start of writing to the end of the
 	// response head; 0 means no bound.
 	HeadTimeout time.Duration
@@ -138,7 +141,7 @@
 		return nil, &BrokenError{Address: address, Reused: cn.reused, Cause: err}
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-		body: response.Body, connClose: response.Close, client: c, conn: cn, ctx: ctx}, nil
+		body: response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
 }
 
 // getConn returns an idle connection or opens a new one.
@@ -247,7 +250,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if r.EchoValue == "" || response.Header.Get(r.EchoName) == r.EchoValue {
+		if r.echoedBy(response) || r.EchoOptional && !cn.reused && response.Header.Get(r.EchoName) == "" {
 			return response, cn.SetDeadline(time.Time{})
 		}
 		if !discard(response) {
@@ -257,6 +260,11 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// echoedBy reports whether the response repeats the request's field, or need not.
+func (r *Request) echoedBy(response *http.Response) bool {
+	return r.EchoValue == "" || response.Header.Get(r.EchoName) == r.EchoValue
+}
+
 // write sends the request. It writes a body over inlineBodyBytes in a goroutine,
 // so that the response can be read meanwhile.
 func (cn *conn) write(r *Request) error {
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -1,34 +1,34 @@
 // Package service is an HTTP client of the services other than model engines.
 //
-// Calls that are not idempotent use only connections that have been idle for a
-// short time, and are never retried by the transport.
+// A connection is reused only by idempotent calls, and only if the service
+// repeats the ID of each call in its responses; otherwise a late second copy of a
+// response could be taken for that to the next call. No call is repeated.
 //
-// Invariant: a NotRunError is returned only if the service did not run the call.
+// Invariants:
+//   - a NotRunError is returned only if the service did not run the call;
+//   - a response with the ID of another call is never returned.
 package service
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"banyanyard/core/idempotency"
+	"banyanyard/io/http1"
 	"banyanyard/io/tcp"
 )
 
-// Bounds of connections and responses, and names of request headers.
+// Bounds of responses, and names of request headers.
 const (
-	idleTimeout      = 30 * time.Second
-	shortIdleTimeout = 2 * time.Second // for calls that are not idempotent
-	maxIdlePerHost   = 32
 	maxResponseBytes = 8 << 20
-	keyHeader        = "idempotency-key" // see newRequest
-	requestIDHeader  = "X-Request-Id"
+	keyHeader        = "Idempotency-Key"
+	requestIDHeader  = "X-Request-Id"          // of requests and responses
 	timeoutHeader    = "Banyanyard-Timeout-Ms" // milliseconds left until the caller's deadline
 )
 
@@ -81,25 +81,10 @@
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
 // A Client calls services. It is safe for concurrent use.
-type Client struct {
-	pooled    *http.Transport // for idempotent calls
-	shortIdle *http.Transport // for calls that are not idempotent
-}
+type Client struct{ client http1.Client }
 
 // New returns a client. A nil dial means TCP.
-func New(dial tcp.DialFunc) *Client {
-	dial = tcp.DialOrDefault(dial)
-	return &Client{pooled: newTransport(dial, idleTimeout), shortIdle: newTransport(dial, shortIdleTimeout)}
-}
-
-func newTransport(dial tcp.DialFunc, idle time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idle,
-		DisableCompression:  true,
-	}
-}
+func New(dial tcp.DialFunc) *Client { return &Client{client: http1.Client{Dial: dial}} }
 
 // Do sends a call and returns the complete response. Errors other than those of an
 // invalid call are a NotRunError or an OutcomeUnknownError.
@@ -108,60 +93,57 @@
 	if err != nil {
 		return idempotency.Answer{}, err
 	}
-	transport := c.shortIdle
-	if call.Idempotent {
-		transport = c.pooled
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.client.Do(ctx, call.Address, request)
 	if err != nil {
-		return idempotency.Answer{}, roundTripError(call, err)
+		c.client.CloseIdle(call.Address)
+		return idempotency.Answer{}, doError(call, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer response.Close()
 	return readResponse(call, response)
 }
 
-func newRequest(ctx context.Context, call Call) (*http.Request, error) {
-	url := "http://" + call.Address + call.Path
-	if call.Query != "" {
-		url += "?" + call.Query
-	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+func newRequest(ctx context.Context, call Call) (*http1.Request, error) {
+	target, err := url.Parse("http://" + call.Address + call.Path)
 	if err != nil {
 		return nil, err
 	}
-	request.GetBody = nil
+	target.RawQuery = call.Query
+	r := &http1.Request{
+		Method: call.Method, Target: target.RequestURI(), Host: call.Address, Body: call.Body,
+		NewConn:  !call.Idempotent,
+		EchoName: requestIDHeader, EchoValue: call.AttemptID, EchoOptional: true,
+	}
 	for name, values := range call.Header {
-		request.Header[name] = values
+		for _, v := range values {
+			r.Header = append(r.Header, http1.Field{Name: name, Value: v})
+		}
 	}
-	request.Header.Set(requestIDHeader, call.AttemptID)
+	r.Header = append(r.Header, http1.Field{Name: requestIDHeader, Value: call.AttemptID})
 	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(timeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		r.Header = append(r.Header, http1.Field{Name: timeoutHeader, Value: strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)})
 	}
 	if call.IdempotencyKey != "" {
-		// After a broken connection, http.Transport retries any request with
-		// this header under its canonical name. Header names are not
-		// case-sensitive on the wire, so the service still reads it.
-		request.Header[keyHeader] = []string{call.IdempotencyKey}
+		r.Header = append(r.Header, http1.Field{Name: keyHeader, Value: call.IdempotencyKey})
 	}
-	return request, nil
+	return r, nil
 }
 
-// roundTripError returns a NotRunError if no connection could be opened, and
-// otherwise an OutcomeUnknownError.
-func roundTripError(call Call, err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// doError returns a NotRunError if no connection could be opened, and otherwise
+// an OutcomeUnknownError.
+func doError(call Call, err error) error {
+	var unreachable *http1.UnreachableError
+	if errors.As(err, &unreachable) {
 		return &NotRunError{Upstream: call.Upstream, Unreachable: true, Cause: err}
 	}
 	return &OutcomeUnknownError{Upstream: call.Upstream, Cause: err}
 }
 
-func readResponse(call Call, response *http.Response) (idempotency.Answer, error) {
-	refused := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+func readResponse(call Call, response *http1.Response) (idempotency.Answer, error) {
+	refused := response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
 	if refused && call.RefusesBeforeRunning {
-		return idempotency.Answer{}, &NotRunError{Upstream: call.Upstream, Cause: errors.New(response.Status)}
+		return idempotency.Answer{}, &NotRunError{Upstream: call.Upstream, Cause: fmt.Errorf("status %d", response.Status)}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
 	if err != nil {
 		return idempotency.Answer{}, &OutcomeUnknownError{Upstream: call.Upstream, Cause: err}
 	}
@@ -174,11 +156,8 @@
 			header[name] = values
 		}
 	}
-	return idempotency.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
+	return idempotency.Answer{Status: response.Status, Header: header, Body: body}, nil
 }
 
 // Close closes all idle connections.
-func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.shortIdle.CloseIdleConnections()
-}
+func (c *Client) Close() { c.client.Close() }
