io/peer: bound the messages that are read

Cause: jsonrpc2's codec reads header lines without a bound, and a message of any length, so that one member could use up an instance's memory.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -134,7 +134,7 @@
 }
 
 func newConn(ctx context.Context, c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, messageCodec{})
 	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(silentLogger{}))
 }
 
