io/tcp: answer the connections in the accept queue before closing it

Cause: closing a listener resets the connections that the kernel has completed and the server has not accepted. An instance that is short of processor time cut requests off at a planned stop. Ruled out: requests that are read already, which Shutdown waits for.

--- /dev/null
+++ b/io/tcp/drain.go
@@ -0,0 +1,78 @@
+package tcp
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// acceptDrainTime is how long a listener that is being closed still accepts
+// connections. The kernel has completed those in its queue, so their requests may
+// have arrived; closing the socket would reset them.
+const acceptDrainTime = 50 * time.Millisecond
+
+// maxDrainTime bounds Drain if connections keep arriving.
+const maxDrainTime = time.Second
+
+// A DrainingListener can accept the connections in the kernel's queue before it is
+// closed. Accept must be called in a loop, as http.Server does.
+type DrainingListener struct {
+	net.Listener
+	closeBy atomic.Int64  // Unix nanoseconds; 0 until Drain is called
+	drained chan struct{} // closed when Accept has ended
+	once    sync.Once
+}
+
+// NewDrainingListener returns a listener that accepts the connections of l.
+func NewDrainingListener(l net.Listener) *DrainingListener {
+	return &DrainingListener{Listener: l, drained: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *DrainingListener) Accept() (net.Conn, error) {
+	c, err := l.accept()
+	if err != nil && l.closeBy.Load() > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline interrupted a wait; the queue gets the whole time once more.
+		if c, err = l.accept(); errors.Is(err, os.ErrDeadlineExceeded) {
+			err = net.ErrClosed
+		}
+	}
+	if err != nil {
+		l.once.Do(func() { close(l.drained) })
+	}
+	return c, err
+}
+
+func (l *DrainingListener) accept() (net.Conn, error) {
+	if l.closeBy.Load() > 0 {
+		l.setDeadline()
+	}
+	return l.Listener.Accept()
+}
+
+// setDeadline ends waits for connections after acceptDrainTime. It reports whether
+// the listener supports that.
+func (l *DrainingListener) setDeadline() bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return false
+	}
+	deadline := time.Now().Add(acceptDrainTime)
+	if closeBy := time.Unix(0, l.closeBy.Load()); closeBy.Before(deadline) {
+		deadline = closeBy
+	}
+	return d.SetDeadline(deadline) == nil
+}
+
+// Drain returns when no connection has arrived for acceptDrainTime, or after
+// maxDrainTime; Accept then fails with net.ErrClosed. It returns at once if the
+// listener has no deadlines.
+func (l *DrainingListener) Drain() {
+	l.closeBy.CompareAndSwap(0, time.Now().Add(maxDrainTime).UnixNano())
+	if l.setDeadline() {
+		<-l.drained
+	}
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -76,7 +76,8 @@
 		operators:  n.newServer(operator.New(n)),
 	}
 	failed := make(chan error, 4)
-	forCallers := tcp.Listener{Listener: l.Callers, WriteBufferBytes: n.settings.Limits.SocketBufferBytes}
+	draining := tcp.NewDrainingListener(l.Callers)
+	forCallers := tcp.Listener{Listener: draining, WriteBufferBytes: n.settings.Limits.SocketBufferBytes}
 	go func() { failed <- serve(servers.callers, withTLS(forCallers, callerTLS)) }()
 	go func() { failed <- serve(servers.handedOver, handedOver) }()
 	go func() { failed <- serve(servers.operators, l.Operators) }()
@@ -90,7 +91,7 @@
 		return ErrAborted
 	case <-ctx.Done():
 	}
-	return n.shutdown(servers)
+	return n.shutdown(servers, draining)
 }
 
 // ErrAborted is returned by Serve when the instance was ended by Abort.
@@ -156,12 +157,12 @@
 func (leavingBegun) apply(c *control) { c.detector.MarkLeaving() }
 
 // shutdown stops the instance gracefully. It returns early after Abort.
-func (n *Node) shutdown(s servers) error {
+func (n *Node) shutdown(s servers, callers *tcp.DrainingListener) error {
 	n.leaving.Store(true)
 	n.send(context.Background(), leavingBegun{})
 	n.log.Info("leaving")
 	drained := make(chan error, 1)
-	go func() { drained <- n.drain(s) }()
+	go func() { drained <- n.drain(s, callers) }()
 	select {
 	case err := <-drained:
 		n.log.Info("left")
@@ -174,10 +175,11 @@
 // drain waits until the load balancer sees that the instance is not ready, then
 // for running requests and the writing of charges, and finally gives up the
 // instance's shares.
-func (n *Node) drain(s servers) error {
+func (n *Node) drain(s servers, callers *tcp.DrainingListener) error {
 	time.Sleep(time.Duration(n.settings.Timeouts.Announce))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Timeouts.Drain))
 	defer cancel()
+	callers.Drain()
 	err := s.callers.Shutdown(ctx)
 	if handedOverErr := s.handedOver.Shutdown(ctx); err == nil {
 		err = handedOverErr
