core/trial: traffic moves to a new version only when the evidence clears it

Cause: at 0.51 of an order's duration all traffic began to move, however little was known. Ruled out: the stop itself (all instances knew it within 0.2 s); retries; the slack of each instance (newAttempts stayed below it before the move). Change: the test compares times between events with the old version's median, which a sound version with less load stays below, on warm upstreams and until the traffic moves.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -60,11 +60,14 @@
 	Latency   tally.Counts `json:"latency"` // Bad: late first token
 	Ratings   tally.Counts `json:"ratings"` // Bad: insufficient answer
 	EventGaps tally.Counts `json:"pace"`    // Bad: long time between events of a stream
+	// GapsOverMedian counts times between events. Bad: longer than the old
+	// version's median.
+	GapsOverMedian tally.Counts `json:"over-median"`
 }
 
 // Plus returns the sum of two arms.
 func (a Arm) Plus(o Arm) Arm {
-	return Arm{Errors: a.Errors.Plus(o.Errors), Latency: a.Latency.Plus(o.Latency), Ratings: a.Ratings.Plus(o.Ratings), EventGaps: a.EventGaps.Plus(o.EventGaps)}
+	return Arm{Errors: a.Errors.Plus(o.Errors), Latency: a.Latency.Plus(o.Latency), Ratings: a.Ratings.Plus(o.Ratings), EventGaps: a.EventGaps.Plus(o.EventGaps), GapsOverMedian: a.GapsOverMedian.Plus(o.GapsOverMedian)}
 }
 
 // Evidence is the evidence about both versions: about the new one since the
@@ -131,28 +134,63 @@
 // thresholds for late first tokens and for long times between events; errors
 // and ratings use DefaultThreshold.
 func FindRegression(e Evidence, latency, eventGaps Threshold) string {
-	tests := [...]outcomeTest{
+	for _, t := range outcomeTests(e, latency, eventGaps) {
+		if t.newIsWorse() {
+			return fmt.Sprintf("%s: %d of %d with the new version, %d of %d with the old", t.name, t.new.Bad, t.new.N(), t.old.Bad, t.old.N())
+		}
+	}
+	return ""
+}
+
+// medianThreshold is the threshold for times between events over the median. It is
+// exceeded by a version whose streams are slow although its upstreams have less
+// load than those of the old version.
+var medianThreshold = Threshold{Tolerance: 0.05, EffectSize: 0.20}
+
+func outcomeTests(e Evidence, latency, eventGaps Threshold) []outcomeTest {
+	return []outcomeTest{
 		{name: "errors", new: e.New.Errors, old: e.Old.Errors, threshold: DefaultThreshold},
 		{name: "slow first tokens", new: e.New.Latency, old: e.Old.Latency, threshold: latency},
 		{name: "slow streams", new: e.New.EventGaps, old: e.Old.EventGaps, threshold: eventGaps},
+		{name: "streams slower than the median", new: e.New.GapsOverMedian, old: e.Old.GapsOverMedian, threshold: medianThreshold},
 		{name: "insufficient answers", new: e.New.Ratings, old: e.Old.Ratings, threshold: DefaultThreshold},
 	}
-	for _, t := range tests {
-		if t.newIsWorse() {
-			return fmt.Sprintf("%s: %d of %d with the new version, %d of %d with the old", t.name, t.new.Bad, t.new.N(), t.old.Bad, t.old.N())
+}
+
+// MaxLogRatio returns the largest logarithm, over the criteria with outcomes of the
+// new version, of the likelihood that it is worse relative to that it is not; 0 if
+// there are none. The parameters are those of FindRegression.
+func MaxLogRatio(e Evidence, latency, eventGaps Threshold) float64 {
+	largest, found := 0.0, false
+	for _, t := range outcomeTests(e, latency, eventGaps) {
+		if t.new.N() > 0 && (!found || t.logRatio() > largest) {
+			largest, found = t.logRatio(), true
 		}
 	}
-	return ""
+	return largest
+}
+
+// HasEvidence reports whether there are outcomes of the new version for each
+// criterion with outcomes of the old one.
+func HasEvidence(e Evidence) bool {
+	for _, t := range outcomeTests(e, DefaultThreshold, DefaultThreshold) {
+		if t.old.N() > 0 && t.new.N() == 0 {
+			return false
+		}
+	}
+	return e.New.Errors.N() > 0
 }
 
 // newIsWorse reports whether the outcomes of the new version are sufficiently
 // more likely under the tolerated rate plus the effect size than under the
 // tolerated rate.
-func (t *outcomeTest) newIsWorse() bool {
+func (t *outcomeTest) newIsWorse() bool { return t.logRatio() > math.Log(1/falseStopProbability) }
+
+// logRatio returns the logarithm of the ratio of these two likelihoods.
+func (t *outcomeTest) logRatio() float64 {
 	tolerated := min(max(upperRate(t.old), minBadRate)+t.threshold.Tolerance, 1-2*t.threshold.EffectSize)
 	worse := tolerated + t.threshold.EffectSize
-	logRatio := float64(t.new.Bad)*math.Log(worse/tolerated) + float64(t.new.Good)*math.Log((1-worse)/(1-tolerated))
-	return logRatio > math.Log(1/falseStopProbability)
+	return float64(t.new.Bad)*math.Log(worse/tolerated) + float64(t.new.Good)*math.Log((1-worse)/(1-tolerated))
 }
 
 // upperRate returns the rate of bad outcomes plus one standard error, which the
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -2,11 +2,12 @@
 // and stops on its own when that version is worse than the old one.
 //
 // Each instance runs its own Trial of an order. During the first half of the
-// order's duration, a small share of new sessions is sent to the new version;
-// then, unless the evidence speaks against the new version, all sessions move
-// to it. The evidence of all instances is added up per kind of request and
-// compared with that of the old version, which runs at the same time (package
-// rollout). A stop propagates to all instances and is final.
+// order's duration, a small share of new sessions is sent to the new version.
+// After that the share is as large as the bound on exposure allows, until the
+// evidence clears the new version; then all sessions move to it. The evidence of
+// all instances is added up per kind of request and compared with that of the old
+// version, which runs at the same time (package rollout). A stop propagates to all
+// instances and is final.
 //
 // A Trial is not safe for concurrent use; its owner's mutex guards it. Methods
 // that depend on time take the current time.
@@ -15,9 +16,10 @@
 //   - the share of the new version never falls, except to 0 by a stop;
 //   - a session with a recent request keeps its version during the first half,
 //     and never leaves the new version unless that is stopped;
-//   - until the traffic moves, at most Bounds.ExposeShare of this instance's
-//     requests (and a few more, see exposeSlack) go to the new version, retries
-//     included.
+//   - until the traffic moves, new sessions go to the new version only while at
+//     most Bounds.ExposeShare of this instance's requests, and its part of
+//     Bounds.ExposeSlack, have gone there, retries included;
+//   - the traffic moves only after the evidence has cleared the new version.
 package trial
 
 import (
@@ -41,9 +43,12 @@
 	// share yields as much evidence and moves no more sessions that are known
 	// only to other instances.
 	fullCanaryInstances = 10.0
-	// moveStart is the fraction of the order's duration after which the traffic
-	// moves. Sessions must not be moved before half of the duration.
-	moveStart = 0.51
+	// testFraction is the share of sessions sent to the new version from then on
+	// until it is cleared, as a fraction of Bounds.ExposeShare.
+	testFraction = 0.9
+	// earliestMoveStart is the fraction of the order's duration after which the
+	// traffic moves. Sessions must not be moved before half of the duration.
+	earliestMoveStart = 0.51
 	// moveLength is the fraction of the order's duration over which the share
 	// grows to 1.
 	moveLength = 0.08
@@ -54,11 +59,12 @@
 	// minGoodAnswers is the number of good answers from the new version, over
 	// all instances, required before the traffic moves.
 	minGoodAnswers = 5
-	// exposeSlack is the number of requests that an instance may send to the
-	// new version beyond Bounds.ExposeShare. Choosing by share keeps to the
-	// bound on average; this hard limit cuts off the excess due to chance or
-	// retries.
-	exposeSlack = 3
+	// exposeSlackFraction is the part of Bounds.ExposeSlack that the instances use
+	// together; the rest is for attempts in flight when a trial stops.
+	exposeSlackFraction = 0.5
+	// maxExposeSlack is the largest part of one instance, which may not know yet of
+	// the others.
+	maxExposeSlack = 3
 	// slowLatencyFactor and slowGapFactor are the multiples of the old
 	// version's mean above which a time to the first token, or a time between
 	// events, counts as slow. The first is larger because the time to the first
@@ -110,6 +116,7 @@
 // Bounds are the deployment's limits on the effect of a bad version.
 type Bounds struct {
 	ExposeShare    float64       // largest share of the service's requests that a bad version may get, from 0 to 1
+	ExposeSlack    float64       // requests that it may get in addition, from all instances together
 	SessionTimeout time.Duration // a request continues its session only within this time after the previous one
 }
 
@@ -130,12 +137,16 @@
 	Revision uint64        `json:"revision"`
 	Good     int           `json:"good"` // good answers of the new version
 	Elapsed  time.Duration `json:"elapsed"`
+	// MoveAt is when the traffic starts to move, as a time since the order; 0 while
+	// the new version is not cleared.
+	MoveAt time.Duration `json:"move-at,omitempty"`
 }
 
 // A Trial is one instance's view of an order. Create it with New.
 type Trial struct {
 	Order     Order
-	Instances int // number of instances that share the traffic; 0 counts as 1
+	Instances int       // number of instances that share the traffic; 0 counts as 1
+	Baseline  *Baseline // times between events on the old version, also from before the order; not nil
 
 	bounds        Bounds
 	startTime     time.Time
@@ -149,6 +160,10 @@
 	attempts      int // sent to the service since the order
 	newAttempts   int // those of attempts that went to the new version
 	summaryGood   int // good answers of the new version at all instances, from summaries
+
+	moveAt           time.Duration // see Summary.MoveAt
+	clearanceChecked time.Time
+	lastSummary      time.Time
 }
 
 type mean struct {
@@ -164,7 +179,7 @@
 // New returns a trial of an order received at now.
 func New(now time.Time, o Order, b Bounds) *Trial {
 	return &Trial{
-		Order: o, bounds: b, startTime: now,
+		Order: o, Baseline: &Baseline{}, bounds: b, startTime: now,
 		ownEvidence: map[string]rollout.Evidence{}, reports: map[string]Report{},
 		latencyMeans: map[string]*mean{}, eventGapMeans: map[string]*mean{}, sessions: map[string]*sessionState{},
 	}
@@ -196,13 +211,18 @@
 	case Completed:
 		return 1
 	}
-	d := float64(t.Order.Duration)
-	try := canaryFraction * t.bounds.ExposeShare * min(1, fullCanaryInstances/float64(max(t.Instances, 1)))
-	moved := float64(now.Sub(t.startTime)) - moveStart*d
-	if moved < 0 || t.goodAnswers() < minGoodAnswers {
-		return try
+	t.updateClearance(now)
+	canary := canaryFraction * t.bounds.ExposeShare * min(1, fullCanaryInstances/float64(max(t.Instances, 1)))
+	elapsed := now.Sub(t.startTime)
+	if elapsed < t.earliestMove() {
+		return canary
+	}
+	test := testFraction * t.bounds.ExposeShare
+	start, decided := t.moveStart()
+	if !decided || elapsed < start || t.goodAnswers() < minGoodAnswers {
+		return test
 	}
-	return min(1, try+(1-try)*moved/(moveLength*d))
+	return min(1, test+(1-test)*float64(elapsed-start)/(moveLength*float64(t.Order.Duration)))
 }
 
 // Moved reports whether all new requests go to the new version.
@@ -219,14 +239,14 @@
 	case t.state == Stopped:
 	case share >= 1:
 		toNew = true
-	case !unassigned && (s.onNew || !t.moveStarted(now)):
+	case !unassigned && (s.onNew || now.Sub(t.startTime) < t.earliestMove()):
 		toNew = s.onNew
 	default:
 		key := session
 		if key == "" {
 			key = request
 		}
-		toNew = t.keyInShare(key, share) && (t.moveStarted(now) || t.withinExposeShare())
+		toNew = t.keyInShare(key, share) && (t.hasMoveStarted(now) || t.withinExposeShare())
 	}
 	t.RecordSession(now, session, toNew)
 	return toNew
@@ -240,15 +260,11 @@
 	}
 }
 
-// moveStarted reports whether the time to move the traffic has come.
-func (t *Trial) moveStarted(now time.Time) bool {
-	return float64(now.Sub(t.startTime)) >= moveStart*float64(t.Order.Duration)
-}
-
 // withinExposeShare reports whether another request may go to the new version
 // without exceeding the exposure bound.
 func (t *Trial) withinExposeShare() bool {
-	return float64(t.newAttempts) < exposeSlack+t.bounds.ExposeShare*float64(t.attempts)
+	slack := min(maxExposeSlack, exposeSlackFraction*t.bounds.ExposeSlack/float64(max(t.Instances, 1)))
+	return float64(t.newAttempts) < slack+t.bounds.ExposeShare*float64(t.attempts)
 }
 
 // keyInShare reports whether the key's hash, scaled to [0, 1), is below the
@@ -278,6 +294,8 @@
 	// Duration is the time to the first event or to the whole answer; for
 	// RecordEventGap, the time between events. It is 0 when there is none.
 	Duration time.Duration
+	// Cold is true if the upstream had just started, which makes it slow.
+	Cold bool
 }
 
 // RecordOutcome adds the outcome of an attempt to the evidence, and stops the
@@ -294,8 +312,15 @@
 
 // RecordEventGap adds the time between the first events of a stream, which may
 // still be running, to the evidence. It reports whether that stopped the trial.
-func (t *Trial) RecordEventGap(o Observation) bool {
-	return t.record(o, func(a *rollout.Arm) { countSlow(t.eventGapMeans, &a.EventGaps, o, slowGapFactor) })
+func (t *Trial) RecordEventGap(now time.Time, o Observation) bool {
+	return t.record(o, func(a *rollout.Arm) {
+		countSlow(t.eventGapMeans, &a.EventGaps, o, slowGapFactor)
+		// Until the traffic moves, the new version's upstreams have less load than
+		// the old version's, so a sound version is mostly below their median.
+		if median, ok := t.Baseline.Median(o.Kind); ok && !o.Cold && !t.hasMoveStarted(now) {
+			countOutcome(&a.GapsOverMedian.Bad, &a.GapsOverMedian.Good, o.Duration > median)
+		}
+	})
 }
 
 // record applies add to the evidence about the outcome's version and reports
@@ -364,7 +389,8 @@
 
 // Summary returns the total over all instances that this instance knows of.
 func (t *Trial) Summary(now time.Time) Summary {
-	return Summary{Revision: t.Order.Revision, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime)}
+	t.updateClearance(now)
+	return Summary{Revision: t.Order.Revision, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime), MoveAt: t.moveAt}
 }
 
 // LearnSummary merges the summary of another instance.
@@ -372,7 +398,12 @@
 	if s.Revision != t.Order.Revision {
 		return
 	}
+	t.lastSummary = now
 	t.summaryGood = max(t.summaryGood, s.Good)
+	// The earlier of two decisions counts, at all instances alike.
+	if s.MoveAt > 0 && (t.moveAt == 0 || s.MoveAt < t.moveAt) {
+		t.moveAt = s.MoveAt
+	}
 	t.alignStart(now, s.Elapsed)
 }
 
@@ -413,9 +444,8 @@
 	return max(n, t.summaryGood)
 }
 
-// stopIfWorse stops the trial when the new version is worse for one kind of
-// request or for all kinds together. It reports whether it did.
-func (t *Trial) stopIfWorse() bool {
+// evidenceKinds returns the kinds of requests that there is evidence about.
+func (t *Trial) evidenceKinds() map[string]bool {
 	kinds := map[string]bool{}
 	for kind := range t.ownEvidence {
 		kinds[kind] = true
@@ -425,8 +455,14 @@
 			kinds[kind] = true
 		}
 	}
+	return kinds
+}
+
+// stopIfWorse stops the trial when the new version is worse for one kind of
+// request or for all kinds together. It reports whether it did.
+func (t *Trial) stopIfWorse() bool {
 	var total rollout.Evidence
-	for kind := range kinds {
+	for kind := range t.evidenceKinds() {
 		e := t.totalEvidence(kind)
 		if reason := rollout.FindRegression(e, latencyThreshold, eventGapThreshold); reason != "" {
 			t.AdoptState(Stopped, fmt.Sprintf("%s: %s", kind, reason))
--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 
 var order = Order{Service: "s", To: "v2", Revision: 7, Duration: 24 * time.Second}
 
-var bounds = Bounds{ExposeShare: 0.15, SessionTimeout: 5 * time.Second}
+var bounds = Bounds{ExposeShare: 0.15, ExposeSlack: 30, SessionTimeout: 5 * time.Second}
 
 // A simulation is a deployment of instances that all receive the same order.
 type simulation struct {
@@ -22,17 +23,29 @@
 	now    time.Time
 	// outcome decides how an attempt on the new version ends.
 	outcome     func(at time.Duration, kind string) (failed bool, latency time.Duration)
-	eventGap    time.Duration // on the new version; 0 for the same as on the old one
+	eventGap    func(at time.Duration) time.Duration // on the new version; nil for the same as on the old one
+	oldEventGap time.Duration                        // largest additional gap on the old version
 	attempts    int
 	newAttempts int
 	badAnswers  int
 	afterBad    int // requests to the new version after its 50th bad answer
+	pending     []pendingGap
+}
+
+// A pendingGap is an average time between events that is known only once the
+// events have arrived.
+type pendingGap struct {
+	at    time.Time
+	trial *Trial
+	gap   Observation
 }
 
 func newSimulation(instances int, seed uint64) *simulation {
-	p := &simulation{random: rand.New(rand.NewPCG(seed, seed)), now: start}
+	p := &simulation{random: rand.New(rand.NewPCG(seed, seed)), now: start, oldEventGap: 40 * time.Millisecond}
 	for range instances {
-		p.trials = append(p.trials, New(start, order, bounds))
+		t := New(start, order, bounds)
+		t.Instances = instances
+		p.trials = append(p.trials, t)
 	}
 	return p
 }
@@ -64,14 +77,35 @@
 			}
 		}
 		t.RecordOutcome(o)
-		gap := Observation{New: toNew, Kind: kind, Duration: time.Duration(25+p.random.IntN(40)) * time.Millisecond}
-		if toNew && p.eventGap > 0 {
-			gap.Duration = p.eventGap
+		gap := Observation{New: toNew, Kind: kind, Duration: 25*time.Millisecond + time.Duration(p.random.Int64N(int64(p.oldEventGap)))}
+		if toNew && p.eventGap != nil {
+			gap.Duration = p.eventGap(p.now.Sub(start))
 		}
-		t.RecordEventGap(gap)
+		if kind != "tag/small" { // which has too few events
+			p.pending = append(p.pending, pendingGap{at: p.now.Add(o.Duration + sampleEvents*gap.Duration), trial: t, gap: gap})
+		}
+		p.recordGaps()
 	}
 }
 
+// sampleEvents is the number of events over which the time between them is
+// averaged.
+const sampleEvents = 8
+
+// recordGaps records the times between events that are known by now.
+func (p *simulation) recordGaps() {
+	p.pending = slices.DeleteFunc(p.pending, func(g pendingGap) bool {
+		if g.at.After(p.now) {
+			return false
+		}
+		if !g.gap.New {
+			g.trial.Baseline.Record(g.gap.Kind, g.gap.Duration)
+		}
+		g.trial.RecordEventGap(p.now, g.gap)
+		return true
+	})
+}
+
 func (p *simulation) exchangeReports() {
 	for i, t := range p.trials {
 		r := t.Report(p.now, 0)
@@ -94,6 +128,10 @@
 	}
 }
 
+func constantGap(gap time.Duration) func(time.Duration) time.Duration {
+	return func(time.Duration) time.Duration { return gap }
+}
+
 func TestGoodVersionGetsAllTraffic(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(50) {
@@ -137,9 +175,19 @@
 	tests := []struct {
 		name     string
 		outcome  func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration)
-		eventGap time.Duration
+		eventGap func(at time.Duration) time.Duration
+		// oldEventGap is the largest additional gap on the old version.
+		oldEventGap time.Duration
 	}{
-		{name: "slow streams", outcome: goodOutcome, eventGap: 110 * time.Millisecond},
+		{name: "slow streams", outcome: goodOutcome, eventGap: constantGap(110 * time.Millisecond)},
+		// The old version's upstreams are loaded, the new one's are not until the
+		// traffic moves.
+		{name: "streams slow for their load", outcome: goodOutcome, oldEventGap: 90 * time.Millisecond, eventGap: func(at time.Duration) time.Duration {
+			if at < order.Duration*6/10 {
+				return 85 * time.Millisecond
+			}
+			return 250 * time.Millisecond
+		}},
 		{name: "errors", outcome: func(r *rand.Rand) func(time.Duration, string) (bool, time.Duration) {
 			return func(time.Duration, string) (bool, time.Duration) {
 				return r.Float64() < 0.35, 80 * time.Millisecond
@@ -179,6 +227,9 @@
 				p := newSimulation(7, seed)
 				p.outcome = tt.outcome(p.random)
 				p.eventGap = tt.eventGap
+				if tt.oldEventGap > 0 {
+					p.oldEventGap = tt.oldEventGap
+				}
 				p.run()
 				for _, tr := range p.trials {
 					state, why := tr.State()
@@ -242,6 +293,9 @@
 				tr.RecordOutcome(Observation{New: true, Kind: "k"})
 			}
 			tr.LearnReport(start, "other", tt.report)
+			for at := start; at.Before(moved); at = at.Add(time.Second) {
+				tr.Share(at) // as for each request
+			}
 			is.Equal(tr.OldVersionDrained(moved, tt.running, []string{"other"}), tt.want)
 		})
 	}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -41,6 +41,7 @@
 	fleet        *placement.Fleet               // guarded by mu
 	retryBudgets map[string]*retry.WindowBudget // guarded by mu; by service
 	trials       map[string]*trial.Trial        // guarded by mu; by service
+	baselines    map[string]*trial.Baseline     // guarded by mu; by service
 	suspects     crash.Suspects                 // guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators map[string]*cascade.Escalator
@@ -63,6 +64,7 @@
 		fleet:           placement.New(instance, domain),
 		retryBudgets:    map[string]*retry.WindowBudget{},
 		trials:          map[string]*trial.Trial{},
+		baselines:       map[string]*trial.Baseline{},
 		escalators:      map[string]*cascade.Escalator{},
 		sessionLastSeen: map[string]time.Time{},
 		trialStops:      make(chan struct{}, 1),
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -17,6 +17,7 @@
 	}
 	now := time.Now()
 	t := trial.New(now, o, r.Bounds.Trial)
+	t.Baseline = r.baseline(o.Service)
 	for session, at := range r.sessionLastSeen {
 		t.RecordOldSession(session, at)
 	}
@@ -179,11 +180,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.trials[e.request.Service]
-	if t != nil && t.RecordEventGap(trial.Observation{New: s.Upstream.Version == t.Order.To, Kind: e.kind(), Duration: eventGap}) {
+	o := trial.Observation{Kind: e.kind(), Duration: eventGap, Cold: s.Cold}
+	o.New = t != nil && s.Upstream.Version == t.Order.To
+	if !o.New && !o.Cold {
+		r.baseline(e.request.Service).Record(o.Kind, eventGap)
+	}
+	if t != nil && t.RecordEventGap(time.Now(), o) {
 		r.signalTrialStop(t)
 	}
 }
 
+// baseline returns the baseline of a service. The caller holds mu.
+func (r *Router) baseline(service string) *trial.Baseline {
+	b := r.baselines[service]
+	if b == nil {
+		b = &trial.Baseline{}
+		r.baselines[service] = b
+	}
+	return b
+}
+
 // sessionRetention is how long a session is kept after its last request.
 const sessionRetention = 30 * time.Second
 
