core/trial: judge short streams too, and give up a version that is not cleared

A version that was held back at the bound stayed 'running' to the end of its order. Change: streams with five events or more are measured at their end; the rates for times over the median are fixed (0.6 and 0.9, 19 samples instead of 26); the median needs 11 samples; a version that is not cleared at 0.8 of the duration is stopped, since the move could not end in time. TestBadVersionIsStopped passes with baselines from before the order.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -126,7 +126,14 @@
 type outcomeTest struct {
 	name      string
 	new, old  tally.Counts
-	threshold Threshold
+	tolerated float64 // rate of bad outcomes of a version that is not worse
+	worse     float64 // rate from which a version is to be stopped; above tolerated
+}
+
+// comparedTest returns a test whose rates follow from those of the old version.
+func comparedTest(name string, new, old tally.Counts, t Threshold) outcomeTest {
+	tolerated := min(max(upperRate(old), minBadRate)+t.Tolerance, 1-2*t.EffectSize)
+	return outcomeTest{name: name, new: new, old: old, tolerated: tolerated, worse: tolerated + t.EffectSize}
 }
 
 // FindRegression returns by which criterion the new version is worse than the
@@ -142,18 +149,22 @@
 	return ""
 }
 
-// medianThreshold is the threshold for times between events over the median. It is
-// exceeded by a version whose streams are slow although its upstreams have less
-// load than those of the old version.
-var medianThreshold = Threshold{Tolerance: 0.05, EffectSize: 0.20}
+const (
+	// toleratedOverMedian is the tolerated rate of times between events over the old
+	// version's median, where upstreams have no more load than those of the old
+	// version: half, and some for chance.
+	toleratedOverMedian = 0.6
+	// worseOverMedian is the rate for a version with slower streams.
+	worseOverMedian = 0.9
+)
 
 func outcomeTests(e Evidence, latency, eventGaps Threshold) []outcomeTest {
 	return []outcomeTest{
-		{name: "errors", new: e.New.Errors, old: e.Old.Errors, threshold: DefaultThreshold},
-		{name: "slow first tokens", new: e.New.Latency, old: e.Old.Latency, threshold: latency},
-		{name: "slow streams", new: e.New.EventGaps, old: e.Old.EventGaps, threshold: eventGaps},
-		{name: "streams slower than the median", new: e.New.GapsOverMedian, old: e.Old.GapsOverMedian, threshold: medianThreshold},
-		{name: "insufficient answers", new: e.New.Ratings, old: e.Old.Ratings, threshold: DefaultThreshold},
+		comparedTest("errors", e.New.Errors, e.Old.Errors, DefaultThreshold),
+		comparedTest("slow first tokens", e.New.Latency, e.Old.Latency, latency),
+		comparedTest("slow streams", e.New.EventGaps, e.Old.EventGaps, eventGaps),
+		{name: "streams slower than the median", new: e.New.GapsOverMedian, old: e.Old.GapsOverMedian, tolerated: toleratedOverMedian, worse: worseOverMedian},
+		comparedTest("insufficient answers", e.New.Ratings, e.Old.Ratings, DefaultThreshold),
 	}
 }
 
@@ -188,9 +199,7 @@
 
 // logRatio returns the logarithm of the ratio of these two likelihoods.
 func (t *outcomeTest) logRatio() float64 {
-	tolerated := min(max(upperRate(t.old), minBadRate)+t.threshold.Tolerance, 1-2*t.threshold.EffectSize)
-	worse := tolerated + t.threshold.EffectSize
-	return float64(t.new.Bad)*math.Log(worse/tolerated) + float64(t.new.Good)*math.Log((1-worse)/(1-tolerated))
+	return float64(t.new.Bad)*math.Log(t.worse/t.tolerated) + float64(t.new.Good)*math.Log((1-t.worse)/(1-t.tolerated))
 }
 
 // upperRate returns the rate of bad outcomes plus one standard error, which the
--- a/core/trial/baseline.go
+++ b/core/trial/baseline.go
@@ -10,7 +10,7 @@
 	// median is taken.
 	baselineSamples = 31
 	// minBaselineSamples is the number from which on the median is used.
-	minBaselineSamples = 5
+	minBaselineSamples = 11
 )
 
 // A Baseline holds the newest times between events of a service's streams, by kind
--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -16,6 +16,9 @@
 	// lateClearance is the fraction of the order's duration after which the traffic
 	// also moves if little is known about the new version, but nothing against it.
 	lateClearance = 0.65
+	// giveUp is the fraction of the order's duration after which a version that is
+	// not cleared is stopped: the move could not end in time.
+	giveUp = 0.8
 	// summaryTimeout is the time without a summary after which an instance relies on
 	// its own evidence.
 	summaryTimeout = 3 * time.Second
@@ -39,13 +42,26 @@
 	t.clearanceChecked = now
 	elapsed := now.Sub(t.startTime)
 	late := float64(elapsed) >= lateClearance*float64(t.Order.Duration)
-	collects := 2*(len(t.reports)+1) >= t.Instances
 	isolated := late && now.Sub(t.lastSummary) > summaryTimeout
-	if (collects || isolated) && t.isCleared(late) {
+	if (t.collects() || isolated) && t.isCleared(late) {
 		t.moveAt = elapsed + clearanceDelay
 	}
 }
 
+// GiveUp stops the trial if the new version has not been cleared in time. It
+// reports whether it did.
+func (t *Trial) GiveUp(now time.Time) bool {
+	t.updateClearance(now)
+	if t.moveAt > 0 || !t.collects() || float64(now.Sub(t.startTime)) < giveUp*float64(t.Order.Duration) {
+		return false
+	}
+	return t.AdoptState(Stopped, "the evidence has not cleared the new version in time")
+}
+
+// collects reports whether this instance has the reports of at least half of all
+// instances.
+func (t *Trial) collects() bool { return 2*(len(t.reports)+1) >= t.Instances }
+
 // isCleared reports whether the evidence speaks for the new version or, if late is
 // set, not against it.
 func (t *Trial) isCleared(late bool) bool {
--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -55,6 +55,13 @@
 func (p *simulation) run() {
 	const perSecond = 60
 	kinds := []string{"draft/small", "draft/large", "tag/small"}
+	for _, t := range p.trials {
+		for _, kind := range kinds {
+			for range baselineSamples { // from before the order
+				t.Baseline.Record(kind, p.oldGap())
+			}
+		}
+	}
 	for i := range int(order.Duration.Seconds()) * perSecond {
 		p.now = start.Add(time.Duration(i) * time.Second / perSecond)
 		if i%(perSecond/2) == 0 {
@@ -77,7 +84,7 @@
 			}
 		}
 		t.RecordOutcome(o)
-		gap := Observation{New: toNew, Kind: kind, Duration: 25*time.Millisecond + time.Duration(p.random.Int64N(int64(p.oldEventGap)))}
+		gap := Observation{New: toNew, Kind: kind, Duration: p.oldGap()}
 		if toNew && p.eventGap != nil {
 			gap.Duration = p.eventGap(p.now.Sub(start))
 		}
@@ -88,6 +95,10 @@
 	}
 }
 
+func (p *simulation) oldGap() time.Duration {
+	return 25*time.Millisecond + time.Duration(p.random.Int64N(int64(p.oldEventGap)))
+}
+
 // sampleEvents is the number of events over which the time between them is
 // averaged.
 const sampleEvents = 8
@@ -114,6 +125,7 @@
 				other.LearnReport(p.now, fmt.Sprint(i), r)
 			}
 		}
+		t.GiveUp(p.now)
 		if s, why := t.State(); s == Stopped {
 			for _, other := range p.trials {
 				other.AdoptState(Stopped, why)
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -180,6 +180,10 @@
 	others := c.otherInstances()
 	var checks []trialCheck
 	for service, t := range r.trials {
+		t.Instances = r.fleet.NumInstances()
+		if t.GiveUp(now) {
+			r.logTrial(t, "evidence")
+		}
 		oldRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version != t.Order.To })
 		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
 		check.state, _ = t.State()
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -42,6 +42,9 @@
 	// between events is measured. Fewer events could all have been delayed by the
 	// reading of one prompt.
 	paceSampleEvents = 8
+	// minPaceSampleEvents is the number that suffices for a shorter stream at its
+	// end.
+	minPaceSampleEvents = 4
 	// minAttemptTime is the minimum time before the deadline for another attempt.
 	minAttemptTime = 20 * time.Millisecond
 )
@@ -299,11 +302,15 @@
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
 	gapTimeout := time.Duration(gapTargetFactor * float64(e.request.Route.GapTarget))
-	var sampleStart time.Time
+	var sampleStart, lastEvent time.Time
 	var eventGap time.Duration
 	for events := 0; ; events++ {
 		event, err := answer.NextEvent(gapTimeout)
 		if errors.Is(err, io.EOF) {
+			if events > minPaceSampleEvents && events <= paceSampleEvents {
+				eventGap = lastEvent.Sub(sampleStart) / time.Duration(events-1)
+				e.router.recordEventGap(e, slot, eventGap)
+			}
 			result := e.endStream(answer.Head())
 			result.eventGap = eventGap
 			return result
@@ -311,11 +318,14 @@
 		if err != nil {
 			return e.classifyReadError(ctx, err)
 		}
+		if events <= paceSampleEvents {
+			lastEvent = time.Now()
+		}
 		switch events {
 		case 0:
-			sampleStart = time.Now()
+			sampleStart = lastEvent
 		case paceSampleEvents:
-			eventGap = time.Since(sampleStart) / paceSampleEvents
+			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
 			e.router.recordEventGap(e, slot, eventGap)
 		}
 		if err := e.writeEvent(answer.Head(), event); err != nil {
