core/rollout: stop earlier by the median of times between events

Change: the criterion stops at a probability of a false stop of 0.005 instead of 0.0004; a sound version with less load is far below the tolerated rate.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -128,12 +128,13 @@
 	new, old  tally.Counts
 	tolerated float64 // rate of bad outcomes of a version that is not worse
 	worse     float64 // rate from which a version is to be stopped; above tolerated
+	falseStop float64 // probability of stopping a version with the tolerated rate
 }
 
 // comparedTest returns a test whose rates follow from those of the old version.
 func comparedTest(name string, new, old tally.Counts, t Threshold) outcomeTest {
 	tolerated := min(max(upperRate(old), minBadRate)+t.Tolerance, 1-2*t.EffectSize)
-	return outcomeTest{name: name, new: new, old: old, tolerated: tolerated, worse: tolerated + t.EffectSize}
+	return outcomeTest{name: name, new: new, old: old, tolerated: tolerated, worse: tolerated + t.EffectSize, falseStop: falseStopProbability}
 }
 
 // FindRegression returns by which criterion the new version is worse than the
@@ -156,6 +157,9 @@
 	toleratedOverMedian = 0.6
 	// worseOverMedian is the rate for a version with slower streams.
 	worseOverMedian = 0.9
+	// falseStopOverMedian is larger than falseStopProbability because a sound version
+	// with less load is far below the tolerated rate.
+	falseStopOverMedian = 0.005
 )
 
 func outcomeTests(e Evidence, latency, eventGaps Threshold) []outcomeTest {
@@ -163,7 +167,7 @@
 		comparedTest("errors", e.New.Errors, e.Old.Errors, DefaultThreshold),
 		comparedTest("slow first tokens", e.New.Latency, e.Old.Latency, latency),
 		comparedTest("slow streams", e.New.EventGaps, e.Old.EventGaps, eventGaps),
-		{name: "streams slower than the median", new: e.New.GapsOverMedian, old: e.Old.GapsOverMedian, tolerated: toleratedOverMedian, worse: worseOverMedian},
+		{name: "streams slower than the median", new: e.New.GapsOverMedian, old: e.Old.GapsOverMedian, tolerated: toleratedOverMedian, worse: worseOverMedian, falseStop: falseStopOverMedian},
 		comparedTest("insufficient answers", e.New.Ratings, e.Old.Ratings, DefaultThreshold),
 	}
 }
@@ -195,7 +199,7 @@
 // newIsWorse reports whether the outcomes of the new version are sufficiently
 // more likely under the tolerated rate plus the effect size than under the
 // tolerated rate.
-func (t *outcomeTest) newIsWorse() bool { return t.logRatio() > math.Log(1/falseStopProbability) }
+func (t *outcomeTest) newIsWorse() bool { return t.logRatio() > math.Log(1/t.falseStop) }
 
 // logRatio returns the logarithm of the ratio of these two likelihoods.
 func (t *outcomeTest) logRatio() float64 {
