node/mesh, core/relay: relay rows along trees, pull them when none arrive

Cause: each of two followers of a failure domain sent every change, and every 0.5 s a sign of life, to all others itself: 126 calls a second at 64 instances, on machines with 0.12 of a core (docs/CAPACITY.md: the busiest instance of 302 used 69.6% of its processor). An instance that got no relays waited 1.3 s and 0.3 s for each of higher rank, 18 s at rank 58, before it asked the store itself. Ways weighed for 61, 120, 400 instances of a domain: two followers to all (61, 120, 400 sends a change at one instance, one hop, 18 to 120 s until the last asks); gossip (about 3 log n rounds of 1 s: over the bound); large instances first as followers (the same sends; sizes are not known to the others); more followers (calls to the store grow); trees by rank: 6 sends at any instance, 3, 3, 4 hops, as many bytes in all. Change: relays go along a tree of its own for each follower, six children an instance; children of one that cannot be reached get them from its parent. An instance that is not up to date with the store and has had no relay for 1.1 s compares rows with instances that follow the store, in any failure domain. Staleness without any relay: 1.1 s, a tick and a call, whatever the rank. Measured: TestInstancesWithoutRelaysAreUpToDate failed before, passes; TestFollowersLoadIsBounded: most bytes sent by one instance of 43 6.1 times the mean before, 2.2 times now; core/relay's invariants by rapid, up to 400 members.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -82,16 +82,20 @@
 	Checksum uint64         `json:"sum"`
 	Entries  []gossip.Entry `json:"entries,omitempty"`
 	Wanted   []string       `json:"wanted,omitempty"`
+	// UpToDate is true if the sender follows the store and is up to date with it.
+	UpToDate bool `json:"up-to-date,omitempty"`
 }
 
 // A RowUpdate relays changes of the platform's store to an instance that does not
-// follow the store itself.
+// follow the store itself, and that forwards it to others.
 type RowUpdate struct {
-	From              string `json:"from"`   // address of the sender
+	From              string `json:"from"`   // address of the follower that sent it first
+	Root              string `json:"root"`   // name of that instance
+	Hops              int    `json:"hops"`   // number of instances that have forwarded it
 	RareChecksum      uint64 `json:"orders"` // as in Exchange
 	FrequentChecksum  uint64 `json:"rows"`   // as in Exchange
 	Entries           Bundle `json:"entries,omitempty"`
-	Rank              uint64 `json:"rank"`               // rank of the sender; the instance with the highest rank relays if it can
+	Rank              uint64 `json:"rank"`               // rank of the root; the instance with the highest rank relays if it can
 	RemovalsUncertain bool   `json:"doubtful,omitempty"` // a removed row may come back
 	Reread            bool   `json:"reread,omitempty"`   // the rows are too large to relay; read them from the store
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -80,8 +80,10 @@
 	seeds          []member.Seed
 	started        time.Time
 	relayReceived  time.Time      // when the last relay was received; see recordRelay
+	pulled         time.Time      // when the last successful pull of rows was sent
 	relaySent      time.Time      // when this instance last sent a relay
 	unsentRows     []gossip.Entry // rows to relay
+	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 }
 
@@ -172,6 +174,9 @@
 	return m.client.Report(ctx, address, e)
 }
 
+// BytesSent returns the number of bytes sent to other instances.
+func (m *Mesh) BytesSent() int64 { return m.traffic.Sent.Load() }
+
 // Leave tells the other instances that this one takes no new work.
 func (m *Mesh) Leave(ctx context.Context) {
 	m.enqueue(ctx, func(s *state) {
@@ -238,8 +243,7 @@
 	if !all && !s.replica.rare.differsFrom(now, rareChecksum) {
 		return
 	}
-	s.comparing = true
-	go s.mesh.syncRows(s.ctx, address, all)
+	s.startSync(address, all, syncTimeout, nil)
 }
 
 // mayLackRegistrations reports whether an instance with other registrations may
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -110,39 +110,52 @@
 	}
 }
 
-// syncRows compares the rows with those of another instance and transfers what
-// either side lacks. If all is false, it compares only rows that change rarely.
-func (m *Mesh) syncRows(ctx context.Context, address string, all bool) {
-	err := m.compareRows(ctx, address, all)
-	m.enqueue(ctx, func(s *state) { s.comparing = false })
-	if err != nil && ctx.Err() == nil {
-		m.log.Line("rows-not-compared").Str("address", address).Err(err).End()
-	}
+// startSync starts a comparison of the rows with those of another instance, which
+// transfers what either side lacks. If all is false, it compares only rows that
+// change rarely. At its end, it calls done, which may be nil, with whether the other
+// instance is up to date with the store.
+func (s *state) startSync(address string, all bool, timeout time.Duration, done func(s *state, upToDate bool)) {
+	s.comparing = true
+	m, ctx := s.mesh, s.ctx
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		upToDate, err := m.compareRows(callCtx, address, all)
+		if err != nil && ctx.Err() == nil {
+			m.log.Line("rows-not-compared").Str("address", address).Err(err).End()
+		}
+		m.enqueue(ctx, func(s *state) {
+			s.comparing = false
+			if done != nil {
+				done(s, upToDate && err == nil)
+			}
+		})
+	}()
 }
 
-func (m *Mesh) compareRows(ctx context.Context, address string, all bool) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
+// compareRows compares the rows with those of another instance. It reports whether
+// that is up to date with the store.
+func (m *Mesh) compareRows(ctx context.Context, address string, all bool) (upToDate bool, err error) {
 	digest, err := runInLoop(ctx, m, func(s *state) map[string]uint64 { return s.replica.digest(all) })
 	if err != nil {
-		return err
+		return false, err
 	}
 	if len(digest) == 0 {
 		digest[""] = 0 // an empty digest would be omitted and ask for no comparison
 	}
 	theirs, err := m.client.Sync(ctx, address, peer.SyncRequest{Digest: digest, RareOnly: !all})
 	if err != nil {
-		return err
+		return false, err
 	}
 	wanted, err := runInLoop(ctx, m, func(s *state) []gossip.Entry {
 		s.applyRows(theirs.Entries, s.mesh.store.RemovalsUncertain())
 		return s.rowsByKey(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
-		return err
+		return theirs.UpToDate, err
 	}
 	_, err = m.client.Sync(ctx, address, peer.SyncRequest{Entries: wanted})
-	return err
+	return theirs.UpToDate, err
 }
 
 func (s *state) rowsByKey(keys []string) []gossip.Entry {
@@ -193,7 +206,7 @@
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
 		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertain())
-		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum()}
+		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), UpToDate: s.mesh.followsStore.Load() && s.mesh.store.UpToDate()}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
 		}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -1,11 +1,15 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
+	"banyanyard/core/relay"
 	"banyanyard/io/peer"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +24,12 @@
 	relayInterval = 500 * time.Millisecond
 	// relayTimeout bounds a relay.
 	relayTimeout = time.Second
+	// pullDelay is how long an instance that is not up to date with the store and
+	// receives no relays waits before it asks instances that follow the store: two
+	// relay intervals and some delay.
+	pullDelay = 1100 * time.Millisecond
+	// pullTimeout bounds such a call.
+	pullTimeout = 600 * time.Millisecond
 	// followDelay is how long an instance that receives no relays waits before it
 	// follows the store itself: two relay intervals and some delay.
 	followDelay = 1300 * time.Millisecond
@@ -71,6 +81,53 @@
 	if follows && now.Sub(s.relaySent) >= relayInterval {
 		s.relayRows(now)
 	}
+	if !(follows && s.mesh.store.UpToDate()) && now.Sub(s.relayReceived) > pullDelay && now.Sub(s.pulled) >= relayInterval {
+		s.pullRows()
+	}
+}
+
+// pullRows compares the rows with those of an instance that probably follows the
+// store, in this failure domain or another: with the same one as long as that is up
+// to date.
+func (s *state) pullRows() {
+	if s.comparing {
+		return
+	}
+	followers := s.likelyFollowers()
+	if len(followers) == 0 {
+		return
+	}
+	sent := time.Now()
+	s.startSync(followers[s.pullSource%len(followers)].Address, true, pullTimeout, func(s *state, upToDate bool) {
+		if upToDate {
+			s.pulled = sent
+		} else {
+			s.pullSource++
+		}
+	})
+}
+
+// likelyFollowers returns the live members with the highest ranks of each failure
+// domain, those of this one first.
+func (s *state) likelyFollowers() []member.Status {
+	byDomain := map[string][]member.Status{}
+	for _, m := range s.detector.Members() {
+		if m.State == member.Live {
+			byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
+		}
+	}
+	var followers []member.Status
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		all := byDomain[domain]
+		slices.SortFunc(all, func(a, b member.Status) int { return cmp.Compare(rank(b.Instance), rank(a.Instance)) })
+		all = all[:min(followersPerDomain, len(all))]
+		if domain == s.mesh.self.FailureDomain {
+			followers = append(slices.Clone(all), followers...)
+		} else {
+			followers = append(followers, all...)
+		}
+	}
+	return followers
 }
 
 // followDelayBehind returns how long an instance without relays waits before it
@@ -107,7 +164,7 @@
 	}
 	s.relaySent = now
 	message := peer.RowUpdate{
-		From: s.mesh.self.Address, Rank: rank(s.mesh.self.Instance), RemovalsUncertain: s.mesh.store.RemovalsUncertain(),
+		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertain: s.mesh.store.RemovalsUncertain(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
 	}
 	bundle, err := peer.NewBundle(s.unsentRows)
@@ -119,18 +176,41 @@
 		message.Entries = bundle
 	}
 	s.unsentRows = nil
+	s.forwardRows(s.mesh.self.Instance, message)
+}
+
+// forwardRows sends a relay to the children of an instance in the tree of the
+// relay's root: to those of this instance, or of one that could not be reached.
+func (s *state) forwardRows(parent string, message peer.RowUpdate) {
+	if message.Hops >= relay.MaxHops {
+		return
+	}
+	addresses := map[string]string{} // of the members of this failure domain, by instance
+	members := []string{s.mesh.self.Instance}
 	for _, m := range s.detector.Members() {
-		if m.State < member.Suspect && m.FailureDomain == s.mesh.self.FailureDomain {
-			go s.mesh.sendRows(s.ctx, m.Address, message)
+		if m.State >= member.Suspect || m.FailureDomain != s.mesh.self.FailureDomain || m.Instance == s.mesh.self.Instance {
+			continue
+		}
+		if addresses[m.Instance] == "" {
+			members = append(members, m.Instance)
+		}
+		addresses[m.Instance] = m.Address
+	}
+	for _, child := range relay.Children(message.Root, parent, members) {
+		if child != s.mesh.self.Instance {
+			go s.mesh.sendRows(s.ctx, child, addresses[child], message)
 		}
 	}
 }
 
-func (m *Mesh) sendRows(ctx context.Context, address string, message peer.RowUpdate) {
+// sendRows sends a relay to an instance. If that fails, it sends it to the
+// instance's children.
+func (m *Mesh) sendRows(ctx context.Context, instance, address string, message peer.RowUpdate) {
 	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	if err := m.client.UpdateRows(callCtx, address, message); err != nil && ctx.Err() == nil {
-		m.relayFailures.Add(1) // an instance that receives no relays follows the store itself
+		m.relayFailures.Add(1)
+		m.enqueue(ctx, func(s *state) { s.forwardRows(instance, message) })
 	}
 }
 
@@ -143,6 +223,9 @@
 	}
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.Empty {
 		now := time.Now()
+		forwarded := message
+		forwarded.Hops++
+		s.forwardRows(s.mesh.self.Instance, forwarded)
 		s.recordRelay(now, message.Rank)
 		s.applyRows(entries, message.RemovalsUncertain)
 		if message.Reread {
