--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -66,6 +66,8 @@
 	store   StoreFollower
 
 	followsStore  atomic.Bool
+	followsAll    atomic.Bool
+	higherRanked  atomic.Int64
 	relayFailures atomic.Int64
 }
 
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -19,6 +19,9 @@
 	// followersPerDomain is the number of instances of a failure domain that
 	// follow the store for the others.
 	followersPerDomain = 2
+	// largeDomain is the number of instances of a failure domain from which on only
+	// the first follower polls all tables. The second replaces it within followDelay.
+	largeDomain = 12
 	// relayInterval is the longest time between two relays to the same
 	// instance.
 	relayInterval = 500 * time.Millisecond
@@ -67,12 +70,24 @@
 // receive its rows from other instances.
 func (m *Mesh) FollowsStore() bool { return m.followsStore.Load() }
 
+// FollowsAllTables reports whether this instance also follows the tables other than
+// the operators'. Of the instances that follow the store for a large failure domain
+// only the first does.
+func (m *Mesh) FollowsAllTables() bool { return m.followsAll.Load() }
+
+// HigherRanked returns the number of live instances of this failure domain that
+// have a higher rank.
+func (m *Mesh) HigherRanked() int { return int(m.higherRanked.Load()) }
+
 // updateFollowing decides whether this instance follows the store, and relays rows
 // when a relay is due. It is called on every tick.
 func (s *state) updateFollowing(now time.Time) {
 	higher := s.higherRanked()
 	followed := s.mesh.followsStore.Load()
 	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || now.Sub(s.relayReceived) > followDelayBehind(higher))
+	s.mesh.higherRanked.Store(int64(higher))
+	replaces := now.Sub(s.relayReceived) > followDelayBehind(higher) // no instance of a higher rank relays
+	s.mesh.followsAll.Store(follows && (higher == 0 || replaces || s.domainSize() < largeDomain))
 	if follows != followed {
 		s.mesh.followsStore.Store(follows)
 		s.mesh.log.Line("store-following").Bool("follows", follows).Int("behind", int64(higher)).Millis("heard-ms", now.Sub(s.relayReceived)).
@@ -138,6 +153,17 @@
 	return followDelay + time.Duration(max(0, higher-followersPerDomain))*followDelayStep
 }
 
+// domainSize returns the number of live instances of this failure domain.
+func (s *state) domainSize() int {
+	n := 1
+	for _, m := range s.detector.Members() {
+		if m.State == member.Live && m.FailureDomain == s.mesh.self.FailureDomain && m.Instance != s.mesh.self.Instance {
+			n++
+		}
+	}
+	return n
+}
+
 // rank returns the rank of an instance in its failure domain. It depends on the
 // name alone, so that all instances compute the same order.
 func rank(instance string) uint64 { return xxhash.Sum64String(instance) }
