--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -356,6 +356,7 @@
 func TestSessionsKeepTheirVersionAcrossInstances(t *testing.T) {
 	is := is.New(t)
 	const perSecond = 57
+	total := 0
 	for seed := range uint64(30) {
 		p := newSimulation(7, seed)
 		var open []*clientSession
@@ -378,7 +379,9 @@
 				forbidden++
 			}
 		}
+		total += forbidden
 		is.True(forbidden <= 3)
 		is.True(p.trials[0].goodAnswers() >= minGoodAnswers)
 	}
+	is.True(total <= 3) // over all runs, since instances learn of each other's sessions
 }
