--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -31,6 +31,9 @@
 	// receives no relays waits before it asks instances that follow the store: two
 	// relay intervals and some delay.
 	pullDelay = 1100 * time.Millisecond
+	// treeSettleTime is how long the members of a failure domain may take to agree on
+	// a change.
+	treeSettleTime = 4 * time.Second
 	// pullTimeout bounds such a call.
 	pullTimeout = 600 * time.Millisecond
 	// followDelay is how long an instance that receives no relays waits before it
@@ -84,13 +87,14 @@
 func (s *state) updateFollowing(now time.Time) {
 	higher := s.higherRanked()
 	followed := s.mesh.followsStore.Load()
-	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || now.Sub(s.relayReceived) > followDelayBehind(higher))
+	silence := s.relaySilence(now)
+	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || silence > followDelayBehind(higher))
 	s.mesh.higherRanked.Store(int64(higher))
-	replaces := now.Sub(s.relayReceived) > followDelayBehind(higher) // no instance of a higher rank relays
+	replaces := silence > followDelayBehind(higher) // no instance of a higher rank relays
 	s.mesh.followsAll.Store(follows && (higher == 0 || replaces || s.domainSize() < largeDomain))
 	if follows != followed {
 		s.mesh.followsStore.Store(follows)
-		s.mesh.log.Line("store-following").Bool("follows", follows).Int("behind", int64(higher)).Millis("heard-ms", now.Sub(s.relayReceived)).
+		s.mesh.log.Line("store-following").Bool("follows", follows).Int("behind", int64(higher)).Millis("heard-ms", silence).
 			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
 	if follows && now.Sub(s.relaySent) >= relayInterval {
@@ -101,6 +105,17 @@
 	}
 }
 
+// relaySilence returns how long this instance has had no relay. Rows that it pulls
+// count as relays for a while, until the other instances have noticed a change of
+// members and agree on the trees again.
+func (s *state) relaySilence(now time.Time) time.Duration {
+	silence := now.Sub(s.relayReceived)
+	if silence < treeSettleTime {
+		return min(silence, now.Sub(s.pulled))
+	}
+	return silence
+}
+
 // pullRows compares the rows with those of an instance that probably follows the
 // store, in this failure domain or another: with the same one as long as that is up
 // to date.
