core/load, core/placement: place by the load of all instances

Reports asked of upstreams are priced as probes, and as stale. Change: relays bring the load of the failure domain down the trees, their answers bring it up, without calls of their own (1 to 2 s old). From 16 instances on, a prompt goes to the first upstream of its order in the instance's group, or with growing probability to the less loaded of two; other requests to the less loaded of two, of the own domain if it has little more. Large prompts leave their part of the upstreams when requests wait there.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -29,6 +30,8 @@
 	byID            map[string]*upstream
 	disabledDomains map[string]bool          // failure domains whose upstreams get no new attempts
 	domainHealths   map[string]*domainHealth // by failure domain
+	shared          sharedLoad
+	random          *rand.Rand
 }
 
 type service struct {
@@ -48,6 +51,7 @@
 		byID:            map[string]*upstream{},
 		disabledDomains: map[string]bool{},
 		domainHealths:   map[string]*domainHealth{},
+		random:          newRandom(instance),
 	}
 }
 
--- /dev/null
+++ b/core/placement/load.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+)
+
+const (
+	// minSharedInstances is the number of instances from which on the load of all
+	// decides. Fewer instances run enough attempts each to judge by their own, which
+	// they know without delay.
+	minSharedInstances = 16
+	// sharedLoadTimeout is how long the load of all instances is used without a
+	// newer one. After that, only this instance's own attempts are known.
+	sharedLoadTimeout = 2 * time.Second
+	// maxAffinityGroups bounds the groups of instances that each send the requests
+	// with an affinity key to an upstream of their own. A key that is in much demand
+	// is thus spread over several upstreams, whatever is known of their load.
+	maxAffinityGroups = 6
+	// minGroupInstances is the number of instances per group: with fewer, groups
+	// would not see the same prompts again.
+	minGroupInstances = 4
+	// affinityLoadFraction is the part of an upstream's slots up to which it gets
+	// all requests with its affinity keys: reading a prompt again is cheaper than
+	// slowing down a larger batch.
+	affinityLoadFraction = 0.4
+	// domainPreference is the load per slot by which an upstream of this failure
+	// domain may exceed one of another.
+	domainPreference = 0.25
+)
+
+// A sharedLoad is the number of attempts that run at each upstream, from all
+// instances.
+type sharedLoad struct {
+	at time.Time // when it was received; zero if never
+}
+
+// SetLoad sets how many attempts the instances of this failure domain run at each
+// upstream, and how many instances these are. The other failure domains are taken
+// to have the same load for each of their instances.
+func (f *Fleet) SetLoad(now time.Time, running map[string]int, instances int) {
+	if instances <= 0 {
+		return
+	}
+	scale := max(1, float64(len(f.instanceNames))/float64(instances))
+	f.shared = sharedLoad{at: now}
+	for id, u := range f.byID {
+		u.sharedRunning = scale * float64(running[id])
+		u.startedSince = 0
+	}
+}
+
+// Running returns the attempts of this instance in progress by upstream.
+func (f *Fleet) Running() map[string]int {
+	running := map[string]int{}
+	for id, u := range f.byID {
+		if u.runningAttempts > 0 {
+			running[id] = u.runningAttempts
+		}
+	}
+	return running
+}
+
+// usesSharedLoad reports whether the load of all instances is known and decides.
+func (f *Fleet) usesSharedLoad(now time.Time) bool {
+	return len(f.instanceNames) >= minSharedInstances && !f.shared.at.IsZero() && now.Sub(f.shared.at) < sharedLoadTimeout
+}
+
+// load returns the estimated number of attempts that run at the upstream, from all
+// instances.
+func (u *upstream) load() float64 {
+	return max(u.sharedRunning+float64(u.startedSince), float64(u.runningAttempts))
+}
+
+// relativeLoad returns the load per slot.
+func (u *upstream) relativeLoad() float64 { return u.load() / float64(max(u.Slots, 1)) }
+
+// pickByAffinity returns the first upstream in the order of the key and this
+// instance's group. The more that is loaded beyond affinityLoadFraction of its
+// slots, or the mean load if that is higher, the more probably it is replaced by the
+// less loaded of two others: a fixed bound would send all instances to the same
+// replacement until they learn of its load.
+func (f *Fleet) pickByAffinity(us []*upstream, key string) *upstream {
+	key += "/" + strconv.FormatUint(f.affinityGroup(), 10)
+	var best *upstream
+	var bestScore uint64
+	for _, u := range us {
+		if s := rendezvousScore(key, u.ID); best == nil || s > bestScore {
+			best, bestScore = u, s
+		}
+	}
+	bound := max(affinityLoadFraction, meanLoad(us))
+	if over := best.relativeLoad()/bound - 1; f.random.Float64() < over {
+		return f.lessLoadedOfTwo(us)
+	}
+	return best
+}
+
+// relieve returns the upstreams of a partition, or all instead, the more probably
+// the more requests wait at those of the partition.
+func (f *Fleet) relieve(part, all []*upstream) []*upstream {
+	if over := meanLoad(part) - max(1, meanLoad(all)); f.random.Float64() < over {
+		return all
+	}
+	return part
+}
+
+// meanLoad returns the mean load per slot.
+func meanLoad(us []*upstream) float64 {
+	sum := 0.0
+	for _, u := range us {
+		sum += u.relativeLoad()
+	}
+	return sum / float64(len(us))
+}
+
+// affinityGroup returns the group of this instance.
+func (f *Fleet) affinityGroup() uint64 {
+	groups := max(1, min(maxAffinityGroups, len(f.instanceNames)/minGroupInstances))
+	return rendezvousScore("group", f.instance) % uint64(groups)
+}
+
+// pickByLoad returns the less loaded of two random upstreams, of this failure domain
+// unless others have much less load.
+func (f *Fleet) pickByLoad(us []*upstream) *upstream {
+	far := f.lessLoadedOfTwo(us)
+	local := prefer(us, func(u *upstream) bool { return u.FailureDomain == f.domain })
+	if near := f.lessLoadedOfTwo(local); near.relativeLoad() <= far.relativeLoad()+domainPreference {
+		return near
+	}
+	return far
+}
+
+// lessLoadedOfTwo returns the less loaded of two random upstreams, which spreads
+// the requests of instances that know the same loads.
+func (f *Fleet) lessLoadedOfTwo(us []*upstream) *upstream {
+	a, b := us[f.random.IntN(len(us))], us[f.random.IntN(len(us))]
+	if b.relativeLoad() < a.relativeLoad() {
+		return b
+	}
+	return a
+}
+
+// newRandom returns the source of an instance's choices, which differ from those of
+// other instances.
+func newRandom(instance string) *rand.Rand {
+	return rand.New(rand.NewPCG(rendezvousScore("random", instance), rendezvousScore("seed", instance)))
+}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -79,12 +79,26 @@
 	}
 	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(s) })
 	available = prefer(available, func(u *upstream) bool { return !now.Before(u.refusingUntil) })
-	available = s.partition.upstreamsFor(now, available, c.PromptWork)
-	u := f.leastLoaded(available)
-	if c.AffinityKey != "" {
-		u = mostPreferred(available, c.AffinityKey)
+	part := s.partition.upstreamsFor(now, available, c.PromptWork)
+	if f.usesSharedLoad(now) {
+		part = f.relieve(part, available)
 	}
-	return f.reserve(now, u), Picked
+	available = part
+	return f.reserve(now, f.choose(now, available, c.AffinityKey)), Picked
+}
+
+// choose returns one of the upstreams by their load and the affinity key.
+func (f *Fleet) choose(now time.Time, us []*upstream, key string) *upstream {
+	shared := f.usesSharedLoad(now)
+	switch {
+	case key != "" && shared:
+		return f.pickByAffinity(us, key)
+	case key != "":
+		return mostPreferred(us, key)
+	case shared:
+		return f.pickByLoad(us)
+	}
+	return f.leastLoaded(us)
 }
 
 // hasColdCapacity reports whether the upstream is warm, or cold and below this
@@ -154,6 +168,7 @@
 	f.domainHealth(u.FailureDomain).noteAttempt(now, u.ID)
 	u.runningAttempts++
 	u.totalAttempts++
+	u.startedSince++
 	u.recentAttempts.Add(now, 1)
 	return &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, u: u}
 }
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -35,9 +35,11 @@
 	coldUntil      time.Time
 	recentAttempts window.Counter // attempts of this instance in the newest second
 
-	totalAttempts   int // attempts of this instance so far
-	runningAttempts int // attempts of this instance in progress
-	connectFailures int // attempts in a row that could not reach it
+	totalAttempts   int     // attempts of this instance so far
+	runningAttempts int     // attempts of this instance in progress
+	sharedRunning   float64 // estimated attempts of all instances in progress; see Fleet.SetLoad
+	startedSince    int     // attempts of this instance that started after that estimate
+	connectFailures int     // attempts in a row that could not reach it
 	downUntil       time.Time
 	refusingUntil   time.Time
 	errorRate       movingRate
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -44,10 +44,10 @@
 	return callMethod[SyncResult](ctx, c, address, methodSync, s)
 }
 
-// UpdateRows relays changes of the platform's store to a member.
-func (c *Client) UpdateRows(ctx context.Context, address string, r RowUpdate) error {
-	_, err := callMethod[Empty](ctx, c, address, methodUpdateRows, r)
-	return err
+// UpdateRows relays changes of the platform's store to a member, and returns the
+// load of those whom the member forwards them to.
+func (c *Client) UpdateRows(ctx context.Context, address string, r RowUpdate) (RowResult, error) {
+	return callMethod[RowResult](ctx, c, address, methodUpdateRows, r)
 }
 
 // Report sends a member what this instance has observed, and returns the member's
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -8,6 +8,7 @@
 import (
 	"banyanyard/core/charge"
 	"banyanyard/core/gossip"
+	"banyanyard/core/load"
 	"banyanyard/core/member"
 	"banyanyard/core/revision"
 	"banyanyard/core/slot"
@@ -98,6 +99,14 @@
 	Rank              uint64 `json:"rank"`               // rank of the root; the instance with the highest rank relays if it can
 	RemovalsUncertain bool   `json:"doubtful,omitempty"` // a removed row may come back
 	Reread            bool   `json:"reread,omitempty"`   // the rows are too large to relay; read them from the store
+	// Load is the load of the root's failure domain.
+	Load load.Sum `json:"load"`
+}
+
+// A RowResult answers a RowUpdate.
+type RowResult struct {
+	// Load is the load of the receiver and those to which it forwards such updates.
+	Load load.Sum `json:"load"`
 }
 
 // A RulesRequest asks for the configuration in force if it is newer.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -24,7 +24,7 @@
 // instances. Its methods are called concurrently.
 type RowHandler interface {
 	GossipHandler
-	UpdateRows(ctx context.Context, r RowUpdate) (Empty, error)
+	UpdateRows(ctx context.Context, r RowUpdate) (RowResult, error)
 	Report(ctx context.Context, e gossip.Entry) (gossip.Entry, error)
 }
 
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/load"
 	"banyanyard/core/member"
 	"banyanyard/io/jsonlog"
 	"banyanyard/io/peer"
@@ -52,6 +53,10 @@
 	// HandleRow takes a row from another instance. Its data is empty if the row was
 	// removed; removalsUncertain says that a removed row may come back.
 	HandleRow(e gossip.Entry, removalsUncertain bool)
+	// RunningAttempts returns the attempts of this instance in progress, by upstream.
+	RunningAttempts() map[string]int
+	// HandleLoad takes the load of the instances of this failure domain.
+	HandleLoad(l load.Sum)
 }
 
 // A Mesh connects one instance to the others. Its methods are safe for concurrent
@@ -87,6 +92,7 @@
 	unsentRows     []gossip.Entry // rows to relay
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
+	loads          load.Collector
 }
 
 // New returns the Mesh of the instance self. A nil dial means tcp.DialContext.
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -207,7 +207,9 @@
 	message := peer.RowUpdate{
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertain: s.mesh.store.RemovalsUncertain(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
+		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
 	}
+	s.mesh.events.HandleLoad(message.Load)
 	bundle, err := peer.NewBundle(s.unsentRows)
 	if err != nil {
 		s.mesh.log.Line("rows-not-relayed").Int("rows", int64(len(s.unsentRows))).Err(err).End()
@@ -249,20 +251,25 @@
 func (m *Mesh) sendRows(ctx context.Context, instance, address string, message peer.RowUpdate) {
 	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	if err := m.client.UpdateRows(callCtx, address, message); err != nil && ctx.Err() == nil {
-		m.relayFailures.Add(1)
-		m.enqueue(ctx, func(s *state) { s.forwardRows(instance, message) })
-	}
+	result, err := m.client.UpdateRows(callCtx, address, message)
+	m.enqueue(ctx, func(s *state) {
+		if err != nil {
+			m.relayFailures.Add(1)
+			s.forwardRows(instance, message)
+			return
+		}
+		s.loads.Put(time.Now(), message.Root, instance, result.Load)
+	})
 }
 
 // UpdateRows implements peer.RowHandler.
-func (h handler) UpdateRows(ctx context.Context, message peer.RowUpdate) (peer.Empty, error) {
+func (h handler) UpdateRows(ctx context.Context, message peer.RowUpdate) (peer.RowResult, error) {
 	entries, err := message.Entries.Entries()
 	if err != nil {
 		h.log.Line("news-rejected").Str("key", "rows of "+message.From).Err(err).End()
-		return peer.Empty{}, err
+		return peer.RowResult{}, err
 	}
-	return runInLoop(ctx, h.Mesh, func(s *state) peer.Empty {
+	return runInLoop(ctx, h.Mesh, func(s *state) peer.RowResult {
 		now := time.Now()
 		forwarded := message
 		forwarded.Hops++
@@ -274,7 +281,8 @@
 			s.replica.rare.lastChange = now // gives the reread settleTime before rows are compared
 		}
 		s.compareIfDiffering(now, message.From, message.RareChecksum, message.FrequentChecksum, true)
-		return peer.Empty{}
+		s.mesh.events.HandleLoad(message.Load)
+		return peer.RowResult{Load: s.loads.Total(now, message.Root, s.mesh.events.RunningAttempts())}
 	})
 }
 
