node/exchange: log the shared load of an attempt and the clearance of a version

Cause: the new decisions could not be explained from the log. Measured: TestStartMakesFewStoreCalls, placement, trial and exchange tests pass.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -30,7 +30,7 @@
 	byID            map[string]*upstream
 	disabledDomains map[string]bool          // failure domains whose upstreams get no new attempts
 	domainHealths   map[string]*domainHealth // by failure domain
-	shared          sharedLoad
+	loadSetAt       time.Time                // when SetLoad was last called; zero if never
 	random          *rand.Rand
 }
 
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -30,12 +30,6 @@
 	domainPreference = 0.25
 )
 
-// A sharedLoad is the number of attempts that run at each upstream, from all
-// instances.
-type sharedLoad struct {
-	at time.Time // when it was received; zero if never
-}
-
 // SetLoad sets how many attempts the instances of this failure domain run at each
 // upstream, and how many instances these are. The other failure domains are taken
 // to have the same load for each of their instances.
@@ -44,7 +38,7 @@
 		return
 	}
 	scale := max(1, float64(len(f.instanceNames))/float64(instances))
-	f.shared = sharedLoad{at: now}
+	f.loadSetAt = now
 	for id, u := range f.byID {
 		u.sharedRunning = scale * float64(running[id])
 		u.startedSince = 0
@@ -64,7 +58,7 @@
 
 // usesSharedLoad reports whether the load of all instances is known and decides.
 func (f *Fleet) usesSharedLoad(now time.Time) bool {
-	return len(f.instanceNames) >= minSharedInstances && !f.shared.at.IsZero() && now.Sub(f.shared.at) < sharedLoadTimeout
+	return len(f.instanceNames) >= minSharedInstances && !f.loadSetAt.IsZero() && now.Sub(f.loadSetAt) < sharedLoadTimeout
 }
 
 // load returns the estimated number of attempts that run at the upstream, from all
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -31,6 +31,10 @@
 	Upstream Upstream
 	Cold     bool // the upstream was cold when picked
 	Running  int  // running attempts of this instance there, including this one
+	// Load is the estimated number of attempts of all instances there, including this
+	// one; -1 if only this instance's are known. LoadAge is the age of the estimate.
+	Load    float64
+	LoadAge time.Duration
 
 	u *upstream
 }
@@ -170,7 +174,12 @@
 	u.totalAttempts++
 	u.startedSince++
 	u.recentAttempts.Add(now, 1)
-	return &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, u: u}
+	slot := &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, Load: -1, u: u}
+	if f.usesSharedLoad(now) {
+		slot.Load = u.load()
+		slot.LoadAge = now.Sub(f.loadSetAt)
+	}
+	return slot
 }
 
 // An Outcome says how an attempt ended. It drives health tracking.
--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -58,6 +58,17 @@
 	return t.AdoptState(Stopped, "the evidence has not cleared the new version in time")
 }
 
+// TakeClearance returns when the traffic starts to move, as a time since the order,
+// the first time that it is called after that has been decided.
+func (t *Trial) TakeClearance() (time.Duration, bool) {
+	if t.moveAt == 0 || t.clearanceTaken {
+		return 0, false
+	}
+	t.clearanceTaken = true
+	start, _ := t.moveStart()
+	return start, true
+}
+
 // collects reports whether this instance has the reports of at least half of all
 // instances.
 func (t *Trial) collects() bool { return 2*(len(t.reports)+1) >= t.Instances }
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -171,6 +171,7 @@
 
 	moveAt           time.Duration // see Summary.MoveAt
 	clearanceChecked time.Time
+	clearanceTaken   bool // by TakeClearance
 	lastSummary      time.Time
 }
 
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -184,6 +184,10 @@
 		if t.GiveUp(now) {
 			r.logTrial(t, "evidence")
 		}
+		if start, ok := t.TakeClearance(); ok {
+			r.Log.Line("rollout-cleared").Str("service", service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
+				Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).End()
+		}
 		oldRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version != t.Order.To })
 		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
 		check.state, _ = t.State()
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"banyanyard/core/placement"
@@ -56,6 +57,9 @@
 		Str("outcome", result.outcome.String()).
 		Int("status", int64(result.status)).
 		Millis("took-ms", result.took)
+	if slot.Load >= 0 {
+		line.Int("load", int64(math.Round(slot.Load))).Millis("load-age-ms", slot.LoadAge)
+	}
 	if len(e.models) > 0 {
 		line.Str("model", e.models[e.modelIndex]).Bool("escalated", result.escalate)
 	}
