platform: a removal is doubtful until 2.2 s after the store's last failure

Change: a removal waits for what is left of 2.2 s since the last failed call, also when it is relayed.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -6,6 +6,8 @@
 package peer
 
 import (
+	"time"
+
 	"banyanyard/core/charge"
 	"banyanyard/core/gossip"
 	"banyanyard/core/load"
@@ -90,15 +92,16 @@
 // A RowUpdate relays changes of the platform's store to an instance that does not
 // follow the store itself, and that forwards it to others.
 type RowUpdate struct {
-	From              string `json:"from"`   // address of the follower that sent it first
-	Root              string `json:"root"`   // name of that instance
-	Hops              int    `json:"hops"`   // number of instances that have forwarded it
-	RareChecksum      uint64 `json:"orders"` // as in Exchange
-	FrequentChecksum  uint64 `json:"rows"`   // as in Exchange
-	Entries           Bundle `json:"entries,omitempty"`
-	Rank              uint64 `json:"rank"`               // rank of the root; the instance with the highest rank relays if it can
-	RemovalsUncertain bool   `json:"doubtful,omitempty"` // a removed row may come back
-	Reread            bool   `json:"reread,omitempty"`   // the rows are too large to relay; read them from the store
+	From             string `json:"from"`   // address of the follower that sent it first
+	Root             string `json:"root"`   // name of that instance
+	Hops             int    `json:"hops"`   // number of instances that have forwarded it
+	RareChecksum     uint64 `json:"orders"` // as in Exchange
+	FrequentChecksum uint64 `json:"rows"`   // as in Exchange
+	Entries          Bundle `json:"entries,omitempty"`
+	Rank             uint64 `json:"rank"` // rank of the root; the instance with the highest rank relays if it can
+	// RemovalsUncertainFor is for how long a removed row may come back.
+	RemovalsUncertainFor time.Duration `json:"doubtful-for,omitempty"`
+	Reread               bool          `json:"reread,omitempty"` // the rows are too large to relay; read them from the store
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -51,8 +51,8 @@
 	// of the observations of all. It is called concurrently.
 	HandleReport(e gossip.Entry) gossip.Entry
 	// HandleRow takes a row from another instance. Its data is empty if the row was
-	// removed; removalsUncertain says that a removed row may come back.
-	HandleRow(e gossip.Entry, removalsUncertain bool)
+	// removed; it may be written again within the given time.
+	HandleRow(e gossip.Entry, mayReturnWithin time.Duration)
 	// RunningAttempts returns the attempts of this instance in progress, by upstream.
 	RunningAttempts() map[string]int
 	// HandleLoad takes the load of the instances of this failure domain.
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -71,10 +71,10 @@
 }
 
 // applyRows stores rows from another instance and passes the newer ones on.
-func (s *state) applyRows(entries []gossip.Entry, removalsUncertain bool) {
+func (s *state) applyRows(entries []gossip.Entry, mayReturnWithin time.Duration) {
 	for _, e := range entries {
 		if s.replica.put(time.Now(), e) {
-			s.mesh.events.HandleRow(e, removalsUncertain)
+			s.mesh.events.HandleRow(e, mayReturnWithin)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 		return false, err
 	}
 	wanted, err := runInLoop(ctx, m, func(s *state) []gossip.Entry {
-		s.applyRows(theirs.Entries, s.mesh.store.RemovalsUncertain())
+		s.applyRows(theirs.Entries, s.mesh.store.RemovalsUncertainFor())
 		return s.rowsByKey(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
@@ -205,7 +205,7 @@
 // Sync implements peer.GossipHandler. It compares rows.
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
-		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertain())
+		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertainFor())
 		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), UpToDate: s.mesh.followsStore.Load() && s.mesh.store.UpToDate()}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -59,9 +59,9 @@
 	// UpToDate reports whether the instance has recent answers from the store and
 	// no call is failing.
 	UpToDate() bool
-	// RemovalsUncertain reports whether a removed row may come back, as after a
+	// RemovalsUncertainFor returns for how long a removed row may come back, as after a
 	// recent failure of the store.
-	RemovalsUncertain() bool
+	RemovalsUncertainFor() time.Duration
 	// ChangesRarely reports whether the row with the key changes rarely, as
 	// operators' rows do.
 	ChangesRarely(key string) bool
@@ -205,7 +205,7 @@
 	}
 	s.relaySent = now
 	message := peer.RowUpdate{
-		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertain: s.mesh.store.RemovalsUncertain(),
+		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.store.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
 		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
 	}
@@ -275,7 +275,7 @@
 		forwarded.Hops++
 		s.forwardRows(s.mesh.self.Instance, forwarded)
 		s.recordRelay(now, message.Rank)
-		s.applyRows(entries, message.RemovalsUncertain)
+		s.applyRows(entries, message.RemovalsUncertainFor)
 		if message.Reread {
 			s.mesh.store.Reread()
 			s.replica.rare.lastChange = now // gives the reread settleTime before rows are compared
--- a/node/mesh/replica_test.go
+++ b/node/mesh/replica_test.go
@@ -87,10 +87,10 @@
 // A fakeFollower is a StoreFollower with a fixed state.
 type fakeFollower struct{ upToDate bool }
 
-func (f fakeFollower) UpToDate() bool          { return f.upToDate }
-func (fakeFollower) RemovalsUncertain() bool   { return false }
-func (fakeFollower) ChangesRarely(string) bool { return false }
-func (fakeFollower) Reread()                   {}
+func (f fakeFollower) UpToDate() bool                    { return f.upToDate }
+func (fakeFollower) RemovalsUncertainFor() time.Duration { return 0 }
+func (fakeFollower) ChangesRarely(string) bool           { return false }
+func (fakeFollower) Reread()                             {}
 
 func TestMayLackRegistrations(t *testing.T) {
 	tests := []struct {
