core/placement: prompts stay in the instance's failure domain

Change: upstreams of the own domain are preferred unless their mean load is above 1.3 times that of all, and some; the groups of instances are the domains where there are several.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -18,6 +18,13 @@
 	// with an affinity key to an upstream of their own. A key that is in much demand
 	// is thus spread over several upstreams, whatever is known of their load.
 	maxAffinityGroups = 6
+	// localLoadFactor is how many times the mean load of all upstreams those of this
+	// failure domain may have before others are used as well.
+	localLoadFactor = 1.3
+	// localSlackAttempts and localSlackLoad are what they may have in addition: own
+	// attempts at each, or load per slot.
+	localSlackAttempts = 1.0
+	localSlackLoad     = 0.1
 	// minGroupInstances is the number of instances per group: with fewer, groups
 	// would not see the same prompts again.
 	minGroupInstances = 4
@@ -70,13 +77,34 @@
 // relativeLoad returns the load per slot.
 func (u *upstream) relativeLoad() float64 { return u.load() / float64(max(u.Slots, 1)) }
 
-// pickByAffinity returns the first upstream in the order of the key and this
-// instance's group. The more that is loaded beyond affinityLoadFraction of its
-// slots, or the mean load if that is higher, the more probably it is replaced by the
-// less loaded of two others: a fixed bound would send all instances to the same
-// replacement until they learn of its load.
+// preferLocal returns the upstreams of this failure domain, unless there are none or
+// their mean load is much higher than that of all. Each domain thus reads a shared
+// prompt once, and its requests and streams stay in the domain.
+func (f *Fleet) preferLocal(us []*upstream, load func(*upstream) float64, slack float64) []*upstream {
+	local := prefer(us, func(u *upstream) bool { return u.FailureDomain == f.domain })
+	if mean(local, load) > slack+localLoadFactor*mean(us, load) {
+		return us
+	}
+	return local
+}
+
+func mean(us []*upstream, value func(*upstream) float64) float64 {
+	sum := 0.0
+	for _, u := range us {
+		sum += value(u)
+	}
+	return sum / float64(len(us))
+}
+
+// meanLoad returns the mean load per slot.
+func meanLoad(us []*upstream) float64 { return mean(us, (*upstream).relativeLoad) }
+
+// pickByAffinity returns the first upstream in the key's order. The more that is
+// loaded beyond affinityLoadFraction of its slots, or the mean load if that is
+// higher, the more probably it is replaced by the less loaded of two others: a fixed
+// bound would send all instances to the same replacement until they learn of its
+// load.
 func (f *Fleet) pickByAffinity(us []*upstream, key string) *upstream {
-	key += "/" + strconv.FormatUint(f.affinityGroup(), 10)
 	var best *upstream
 	var bestScore uint64
 	for _, u := range us {
@@ -100,19 +128,16 @@
 	return part
 }
 
-// meanLoad returns the mean load per slot.
-func meanLoad(us []*upstream) float64 {
-	sum := 0.0
+// groupKey returns the affinity key of this instance's group. The failure domains of
+// the upstreams are groups already, so that the groups of all add up to about
+// maxAffinityGroups.
+func (f *Fleet) groupKey(key string, us []*upstream) string {
+	domains := map[string]bool{}
 	for _, u := range us {
-		sum += u.relativeLoad()
+		domains[u.FailureDomain] = true
 	}
-	return sum / float64(len(us))
-}
-
-// affinityGroup returns the group of this instance.
-func (f *Fleet) affinityGroup() uint64 {
-	groups := max(1, min(maxAffinityGroups, len(f.instanceNames)/minGroupInstances))
-	return rendezvousScore("group", f.instance) % uint64(groups)
+	groups := max(1, min(maxAffinityGroups, len(f.instanceNames)/minGroupInstances)/len(domains))
+	return key + "/" + strconv.FormatUint(rendezvousScore("group", f.instance)%uint64(groups), 10)
 }
 
 // pickByLoad returns the less loaded of two random upstreams, of this failure domain
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -96,9 +96,10 @@
 	shared := f.usesSharedLoad(now)
 	switch {
 	case key != "" && shared:
-		return f.pickByAffinity(us, key)
+		return f.pickByAffinity(f.preferLocal(us, (*upstream).relativeLoad, localSlackLoad), f.groupKey(key, us))
 	case key != "":
-		return mostPreferred(us, key)
+		own := func(u *upstream) float64 { return float64(u.runningAttempts) }
+		return mostPreferred(f.preferLocal(us, own, localSlackAttempts), key)
 	case shared:
 		return f.pickByLoad(us)
 	}
