--- a/io/tcp/drain.go
+++ b/io/tcp/drain.go
@@ -14,8 +14,8 @@
 // have arrived; closing the socket would reset them.
 const acceptDrainTime = 50 * time.Millisecond
 
-// maxDrainTime bounds Drain if connections keep arriving.
-const maxDrainTime = time.Second
+// MaxDrainTime bounds Drain if connections keep arriving.
+const MaxDrainTime = 150 * time.Millisecond
 
 // A DrainingListener can accept the connections in the kernel's queue before it is
 // closed. Accept must be called in a loop, as http.Server does.
@@ -68,10 +68,10 @@
 }
 
 // Drain returns when no connection has arrived for acceptDrainTime, or after
-// maxDrainTime; Accept then fails with net.ErrClosed. It returns at once if the
+// MaxDrainTime; Accept then fails with net.ErrClosed. It returns at once if the
 // listener has no deadlines.
 func (l *DrainingListener) Drain() {
-	l.closeBy.CompareAndSwap(0, time.Now().Add(maxDrainTime).UnixNano())
+	l.closeBy.CompareAndSwap(0, time.Now().Add(MaxDrainTime).UnixNano())
 	if l.setDeadline() {
 		<-l.drained
 	}
