io/tcp: the caller of Drain bounds it

Cause: TestShutdownAnswersQueuedConnections failed with the bound of 150 ms (100 connections at 2 ms each); with 500 ms a stopping instance accepted connections after the balancer's time while they kept arriving.

--- a/io/tcp/drain.go
+++ b/io/tcp/drain.go
@@ -12,10 +12,7 @@
 // acceptDrainTime is how long a listener that is being closed still accepts
 // connections. The kernel has completed those in its queue, so their requests may
 // have arrived; closing the socket would reset them.
-const acceptDrainTime = 50 * time.Millisecond
-
-// MaxDrainTime bounds Drain if connections keep arriving.
-const MaxDrainTime = 150 * time.Millisecond
+const acceptDrainTime = 5 * time.Millisecond
 
 // A DrainingListener can accept the connections in the kernel's queue before it is
 // closed. Accept must be called in a loop, as http.Server does.
@@ -67,11 +64,11 @@
 	return d.SetDeadline(deadline) == nil
 }
 
-// Drain returns when no connection has arrived for acceptDrainTime, or after
-// MaxDrainTime; Accept then fails with net.ErrClosed. It returns at once if the
-// listener has no deadlines.
-func (l *DrainingListener) Drain() {
-	l.closeBy.CompareAndSwap(0, time.Now().Add(MaxDrainTime).UnixNano())
+// Drain returns when no connection has arrived for acceptDrainTime, or after the
+// limit; Accept then fails with net.ErrClosed. It returns at once if the listener has
+// no deadlines.
+func (l *DrainingListener) Drain(limit time.Duration) {
+	l.closeBy.CompareAndSwap(0, time.Now().Add(limit).UnixNano())
 	if l.setDeadline() {
 		<-l.drained
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -172,6 +172,10 @@
 	}
 }
 
+// drainTime bounds the time in which connections that keep arriving are accepted
+// once the instance has announced that it leaves.
+const drainTime = time.Second
+
 // drain waits until the load balancer sees that the instance is not ready, then
 // for running requests and the writing of charges, and finally gives up the
 // instance's shares.
@@ -179,7 +183,7 @@
 	time.Sleep(time.Duration(n.settings.Timeouts.Announce))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Timeouts.Drain))
 	defer cancel()
-	callers.Drain()
+	callers.Drain(drainTime)
 	err := s.callers.Shutdown(ctx)
 	if handedOverErr := s.handedOver.Shutdown(ctx); err == nil {
 		err = handedOverErr
