--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -132,9 +132,9 @@
 }
 
 // comparedTest returns a test whose rates follow from those of the old version.
-func comparedTest(name string, new, old tally.Counts, t Threshold) outcomeTest {
-	tolerated := min(max(upperRate(old), minBadRate)+t.Tolerance, 1-2*t.EffectSize)
-	return outcomeTest{name: name, new: new, old: old, tolerated: tolerated, worse: tolerated + t.EffectSize, falseStop: falseStopProbability}
+func comparedTest(name string, newCounts, oldCounts tally.Counts, t Threshold) outcomeTest {
+	tolerated := min(max(upperRate(oldCounts), minBadRate)+t.Tolerance, 1-2*t.EffectSize)
+	return outcomeTest{name: name, new: newCounts, old: oldCounts, tolerated: tolerated, worse: tolerated + t.EffectSize, falseStop: falseStopProbability}
 }
 
 // FindRegression returns by which criterion the new version is worse than the
