--- a/io/tcp/drain.go
+++ b/io/tcp/drain.go
@@ -14,6 +14,10 @@
 // have arrived; closing the socket would reset them.
 const acceptDrainTime = 5 * time.Millisecond
 
+// emptyTries is the number of such times in a row without a connection after which
+// the queue counts as empty.
+const emptyTries = 6
+
 // A DrainingListener can accept the connections in the kernel's queue before it is
 // closed. Accept must be called in a loop, as http.Server does.
 type DrainingListener struct {
@@ -30,26 +34,21 @@
 
 // Accept implements net.Listener.
 func (l *DrainingListener) Accept() (net.Conn, error) {
-	c, err := l.accept()
-	if err != nil && l.closeBy.Load() > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		// The deadline interrupted a wait; the queue gets the whole time once more.
-		if c, err = l.accept(); errors.Is(err, os.ErrDeadlineExceeded) {
-			err = net.ErrClosed
-		}
+	c, err := l.Listener.Accept()
+	// A wait can end before the queue was looked at, if the process was delayed.
+	for tries := 0; tries < emptyTries && l.closeBy.Load() > 0 && errors.Is(err, os.ErrDeadlineExceeded); tries++ {
+		l.setDeadline()
+		c, err = l.Listener.Accept()
 	}
 	if err != nil {
+		if l.closeBy.Load() > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = net.ErrClosed
+		}
 		l.once.Do(func() { close(l.drained) })
 	}
 	return c, err
 }
 
-func (l *DrainingListener) accept() (net.Conn, error) {
-	if l.closeBy.Load() > 0 {
-		l.setDeadline()
-	}
-	return l.Listener.Accept()
-}
-
 // setDeadline ends waits for connections after acceptDrainTime. It reports whether
 // the listener supports that.
 func (l *DrainingListener) setDeadline() bool {
@@ -64,8 +63,7 @@
 	return d.SetDeadline(deadline) == nil
 }
 
-// Drain returns when no connection has arrived for acceptDrainTime, or after the
-// limit; Accept then fails with net.ErrClosed. It returns at once if the listener has
+// Drain returns when no connection has arrived for a while, or after the limit; Accept then fails with net.ErrClosed. It returns at once if the listener has
 // no deadlines.
 func (l *DrainingListener) Drain(limit time.Duration) {
 	l.closeBy.CompareAndSwap(0, time.Now().Add(limit).UnixNano())
