node/mesh: a follower of the operators' table alone may lack registrations

Cause: found when reading the diff: in a large domain the second follower gets registrations by relays like others, but counted as having the newest, so it never compared them, and told those that pull rows that it is up to date. Change: both go by whether the instance polls the table of registrations.

--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -257,10 +257,10 @@
 // mayLackRegistrations reports whether an instance with other registrations may
 // have newer ones than this one. In a large deployment registrations change all
 // the time, so that the checksums of two instances hardly ever match. An instance
-// that follows the store has the newest ones; others compare only with those that
-// do, or when they receive no relays.
+// that polls the store for them has the newest ones; others compare only with those
+// that do, or when they receive no relays.
 func (s *state) mayLackRegistrations(now time.Time, peerFollows bool) bool {
-	if s.mesh.followsStore.Load() {
+	if s.mesh.followsAll.Load() {
 		return !s.mesh.store.UpToDate()
 	}
 	return peerFollows || now.Sub(s.relayReceived) > followDelay
--- a/node/mesh/replica_test.go
+++ b/node/mesh/replica_test.go
@@ -96,13 +96,16 @@
 	tests := []struct {
 		name        string
 		follows     bool
+		followsAll  bool // registrations too
 		upToDate    bool
 		sinceRelay  time.Duration // time since a relay was received
 		peerFollows bool          // the other instance follows the store for this one
 		want        bool
 	}{
-		{name: "follows the store and is up to date", follows: true, upToDate: true, peerFollows: true},
-		{name: "follows the store but is not up to date", follows: true, want: true},
+		{name: "follows the store and is up to date", follows: true, followsAll: true, upToDate: true, peerFollows: true},
+		{name: "follows the store but is not up to date", follows: true, followsAll: true, want: true},
+		{name: "follows only the operators' table", follows: true, upToDate: true, peerFollows: true, want: true},
+		{name: "follows only the operators' table, receives relays", follows: true, upToDate: true, sinceRelay: time.Second},
 		{name: "receives relays", sinceRelay: time.Second},
 		{name: "receives relays from the instance that it compares with", peerFollows: true, want: true},
 		{name: "receives no relays", sinceRelay: 2 * time.Second, want: true},
@@ -112,6 +115,7 @@
 			is := is.New(t)
 			s := &state{mesh: &Mesh{store: fakeFollower{upToDate: tt.upToDate}}, relayReceived: start.Add(-tt.sinceRelay)}
 			s.mesh.followsStore.Store(tt.follows)
+			s.mesh.followsAll.Store(tt.followsAll)
 			is.Equal(s.mayLackRegistrations(start, tt.peerFollows), tt.want)
 		})
 	}
