--- a/core/trial/sessions.go
+++ b/core/trial/sessions.go
@@ -15,7 +15,7 @@
 
 func hashSession(session string) SessionHash { return SessionHash(xxhash.Sum64String(session)) }
 
-// An OldSessions lists sessions that have used the old version, with the time since
+// OldSessions lists sessions that have used the old version, with the time since
 // their last request.
 type OldSessions map[SessionHash]time.Duration
 
