node/mesh: forward each relay once

Cause: found when reading the diff: where instances know different members, a relay reaches some of them twice, and each copy was applied and forwarded. Change: a relay carries the start of its root and a number; further copies are neither forwarded nor applied.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -99,3 +100,65 @@
 		is.True(missed <= 4)
 	}
 }
+
+// copies returns how many copies of a message are sent when each member knows a
+// random half of the others. If once is set, members forward only the first copy.
+func copies(random *rand.Rand, members []string, once bool) int {
+	known := map[string][]string{}
+	for _, m := range members {
+		for _, other := range members {
+			if other == m || other == members[0] || random.IntN(2) == 0 {
+				known[m] = append(known[m], other)
+			}
+		}
+	}
+	type delivery struct {
+		to   string
+		hops int
+	}
+	seen := map[string]*Seen{}
+	sent := 0
+	queue := []delivery{{to: members[0]}}
+	for len(queue) > 0 {
+		d := queue[0]
+		queue = queue[1:]
+		if seen[d.to] == nil {
+			seen[d.to] = &Seen{}
+		}
+		if !seen[d.to].First("root", 1) && once || d.hops >= MaxHops {
+			continue
+		}
+		for _, child := range Children(members[0], d.to, known[d.to]) {
+			sent++
+			queue = append(queue, delivery{to: child, hops: d.hops + 1})
+		}
+	}
+	return sent
+}
+
+// TestCopiesAreBounded checks that a message is sent at most Fanout times by each
+// member that has it, however different the members are that they know; and that
+// this needs Seen.
+func TestCopiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	with, without := 0, 0
+	for seed := range uint64(20) {
+		members := names(40 + 10*int(seed))
+		n := copies(rand.New(rand.NewPCG(seed, 1)), members, true)
+		is.True(n <= Fanout*len(members))
+		with += n
+		without += copies(rand.New(rand.NewPCG(seed, 1)), members, false)
+	}
+	t.Logf("%d copies, %d without Seen", with, without)
+	is.True(without > with)
+}
+
+func TestFirst(t *testing.T) {
+	is := is.New(t)
+	var s Seen
+	is.True(s.First("a", 1))
+	is.True(!s.First("a", 1))
+	is.True(s.First("b", 1))
+	is.True(s.First("a", 3))
+	is.True(!s.First("a", 2)) // overtaken by a newer one
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -92,9 +92,13 @@
 // A RowUpdate relays changes of the platform's store to an instance that does not
 // follow the store itself, and that forwards it to others.
 type RowUpdate struct {
-	From             string `json:"from"`   // address of the follower that sent it first
-	Root             string `json:"root"`   // name of that instance
-	Hops             int    `json:"hops"`   // number of instances that have forwarded it
+	From string `json:"from"` // address of the follower that sent it first
+	Root string `json:"root"` // name of that instance
+	Hops int    `json:"hops"` // number of instances that have forwarded it
+	// Stream identifies the start of the root, and Number the update among those that
+	// it has sent.
+	Stream           string `json:"stream"`
+	Number           uint64 `json:"number"`
 	RareChecksum     uint64 `json:"orders"` // as in Exchange
 	FrequentChecksum uint64 `json:"rows"`   // as in Exchange
 	Entries          Bundle `json:"entries,omitempty"`
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"banyanyard/core/gossip"
 	"banyanyard/core/load"
 	"banyanyard/core/member"
+	"banyanyard/core/relay"
 	"banyanyard/io/jsonlog"
 	"banyanyard/io/peer"
 	"banyanyard/io/tcp"
@@ -93,6 +94,8 @@
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 	loads          load.Collector
+	relayNumber    uint64 // of the newest relay of this instance
+	relaysSeen     relay.Seen
 }
 
 // New returns the Mesh of the instance self. A nil dial means tcp.DialContext.
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -204,7 +204,9 @@
 		return
 	}
 	s.relaySent = now
+	s.relayNumber++
 	message := peer.RowUpdate{
+		Stream: s.mesh.self.ID, Number: s.relayNumber,
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.store.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
 		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
@@ -271,6 +273,9 @@
 	}
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.RowResult {
 		now := time.Now()
+		if !s.relaysSeen.First(message.Stream, message.Number) {
+			return peer.RowResult{} // the load is in the answer to the first copy
+		}
 		forwarded := message
 		forwarded.Hops++
 		s.forwardRows(s.mesh.self.Instance, forwarded)
