core/placement: the load of all instances decides only where slots are few

With 48 slots an upstream got all requests of a prompt up to 19 streams, and the sums are 1 to 2 s old, while 80 instances with 0.6 of a slot each see enough of an upstream by themselves. Change: the shared load decides where an upstream has at most half a slot for each instance; a prompt stays at its upstream up to 5 attempts, not a part of the slots.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -11,6 +11,9 @@
 	// decides. Fewer instances run enough attempts each to judge by their own, which
 	// they know without delay.
 	minSharedInstances = 16
+	// maxOwnSlots is the number of slots of an upstream per instance above which, too,
+	// an instance's own attempts show its load.
+	maxOwnSlots = 0.5
 	// sharedLoadTimeout is how long the load of all instances is used without a
 	// newer one. After that, only this instance's own attempts are known.
 	sharedLoadTimeout = 2 * time.Second
@@ -28,10 +31,10 @@
 	// minGroupInstances is the number of instances per group: with fewer, groups
 	// would not see the same prompts again.
 	minGroupInstances = 4
-	// affinityLoadFraction is the part of an upstream's slots up to which it gets
-	// all requests with its affinity keys: reading a prompt again is cheaper than
-	// slowing down a larger batch.
-	affinityLoadFraction = 0.4
+	// affinityLoad is the number of attempts up to which an upstream gets all requests
+	// with its affinity keys: reading a prompt again is cheaper than slowing down a
+	// larger batch, however many slots the upstream has.
+	affinityLoad = 5.0
 	// domainPreference is the load per slot by which an upstream of this failure
 	// domain may exceed one of another.
 	domainPreference = 0.25
@@ -63,9 +66,13 @@
 	return running
 }
 
-// usesSharedLoad reports whether the load of all instances is known and decides.
-func (f *Fleet) usesSharedLoad(now time.Time) bool {
-	return len(f.instanceNames) >= minSharedInstances && !f.loadSetAt.IsZero() && now.Sub(f.loadSetAt) < sharedLoadTimeout
+// usesSharedLoad reports whether the load of all instances is known and decides
+// among the upstreams.
+func (f *Fleet) usesSharedLoad(now time.Time, us []*upstream) bool {
+	if len(f.instanceNames) < minSharedInstances || float64(us[0].Slots) > maxOwnSlots*float64(len(f.instanceNames)) {
+		return false
+	}
+	return !f.loadSetAt.IsZero() && now.Sub(f.loadSetAt) < sharedLoadTimeout
 }
 
 // load returns the estimated number of attempts that run at the upstream, from all
@@ -100,8 +107,7 @@
 func meanLoad(us []*upstream) float64 { return mean(us, (*upstream).relativeLoad) }
 
 // pickByAffinity returns the first upstream in the key's order. The more that is
-// loaded beyond affinityLoadFraction of its slots, or the mean load if that is
-// higher, the more probably it is replaced by the less loaded of two others: a fixed
+// loaded beyond affinityLoad, or the mean load if that is higher, the more probably it is replaced by the less loaded of two others: a fixed
 // bound would send all instances to the same replacement until they learn of its
 // load.
 func (f *Fleet) pickByAffinity(us []*upstream, key string) *upstream {
@@ -112,7 +118,7 @@
 			best, bestScore = u, s
 		}
 	}
-	bound := max(affinityLoadFraction, meanLoad(us))
+	bound := max(affinityLoad/float64(max(best.Slots, 1)), meanLoad(us))
 	if over := best.relativeLoad()/bound - 1; f.random.Float64() < over {
 		return f.lessLoadedOfTwo(us)
 	}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -84,7 +84,7 @@
 	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(s) })
 	available = prefer(available, func(u *upstream) bool { return !now.Before(u.refusingUntil) })
 	part := s.partition.upstreamsFor(now, available, c.PromptWork)
-	if f.usesSharedLoad(now) {
+	if f.usesSharedLoad(now, available) {
 		part = f.relieve(part, available)
 	}
 	available = part
@@ -93,7 +93,7 @@
 
 // choose returns one of the upstreams by their load and the affinity key.
 func (f *Fleet) choose(now time.Time, us []*upstream, key string) *upstream {
-	shared := f.usesSharedLoad(now)
+	shared := f.usesSharedLoad(now, us)
 	switch {
 	case key != "" && shared:
 		return f.pickByAffinity(f.preferLocal(us, (*upstream).relativeLoad, localSlackLoad), f.groupKey(key, us))
@@ -176,7 +176,7 @@
 	u.startedSince++
 	u.recentAttempts.Add(now, 1)
 	slot := &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, Load: -1, u: u}
-	if f.usesSharedLoad(now) {
+	if f.usesSharedLoad(now, []*upstream{u}) {
 		slot.Load = u.load()
 		slot.LoadAge = now.Sub(f.loadSetAt)
 	}
