node/exchange: log the prompt parts and the progress of broken attempts

The logs could not tell a wrong key, lost news and wrong blame apart: attempts did not name the parts of their prompts, nothing said how far a broken answer had come, dropped entries were not counted.

--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -59,6 +59,8 @@
 	select {
 	case r.outgoing <- e:
 	default: // queue full: the next entry for this request contains these counts
+		r.Metrics.unpublished.Inc()
+		r.Log.Line("news-not-sent").Str("request", q.ID).Str("key", e.Key).Str("error", "the queue is full").End()
 	}
 }
 
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"banyanyard/core/placement"
@@ -47,6 +48,15 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// PartIDs returns the IDs of the parts, separated by commas.
+func (p *Prompt) PartIDs() string {
+	ids := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		ids[i] = part.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // A Request is one request of a caller with everything that routing depends on.
 type Request struct {
 	ID           string // of the attempt, as the caller sent it
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -22,6 +22,8 @@
 	attempts    *prometheus.CounterVec   // by service and outcome
 	refusals    *prometheus.CounterVec   // by kind
 	connections prometheus.Counter
+	// unpublished counts entries for other instances that did not fit the queue.
+	unpublished prometheus.Counter
 }
 
 // latencyBuckets are in seconds, from a call to a plain service to a long stream.
@@ -36,8 +38,9 @@
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_attempts_total", Help: "Attempts at upstreams by outcome."}, []string{"service", "outcome"}),
 		refusals:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_refusals_total", Help: "Requests that were not answered, by kind."}, []string{"kind"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_connections_opened_total", Help: "Connections opened to upstreams."}),
+		unpublished: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_entries_dropped_total", Help: "Gossip entries dropped because the queue was full."}),
 	}
-	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.refusals, m.connections)
+	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.refusals, m.connections, m.unpublished)
 	return m
 }
 
@@ -66,6 +69,9 @@
 	if result.eventGap > 0 {
 		line.Millis("pace-ms", result.eventGap)
 	}
+	if result.outcome == placement.Broken {
+		line.Str("prompt-parts", e.request.Prompt.PartIDs()).Millis("writing-ms", result.writing)
+	}
 	line.Str("after", e.lastEventID).Err(result.err).End()
 }
 
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -130,6 +130,7 @@
 	firstEvent   time.Duration // until the first event or the answer; 0 if there was none
 	eventGap     time.Duration // average between the first events; 0 if there were too few
 	status       int
+	writing      time.Duration // from the first event to the end of the attempt; 0 without an event
 }
 
 // pickUpstream picks an upstream. It waits for a limited time while all are busy.
@@ -316,7 +317,11 @@
 			return result
 		}
 		if err != nil {
-			return e.classifyReadError(ctx, err)
+			result := e.classifyReadError(ctx, err)
+			if events > 0 {
+				result.writing = time.Since(sampleStart)
+			}
+			return result
 		}
 		if events <= paceSampleEvents {
 			lastEvent = time.Now()
