core/suspect, node/exchange: refuse requests by the prompt part that crashes upstreams

Cause: suspicion belonged to one request, by a hash of its content. Requests with the part are all new, so none was refused at its first attempt; bystanders of three crashes were refused instead. Class: evidence is kept by a key that the faulty things do not share. Change: core/suspect learns what the candidates of several crashes share (prompt parts that no answered request had), splits evidence among rivals, waits 0.4 s for objections of other instances, and limits a verdict to the organisation until others crash too. Verdicts travel as urgent gossip, which each instance now passes on at once, and as rows of the status table. Requests are checked before every attempt; attempts in progress that have not begun to write are ended. core/crash stays for callers' own interface.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -30,6 +30,9 @@
 	Key     string          `json:"key"`
 	Version uint64          `json:"version"`
 	Data    json.RawMessage `json:"data,omitempty"`
+	// Urgent makes each instance that learns the entry pass it on at once, and forget it
+	// soon afterwards.
+	Urgent bool `json:"urgent,omitempty"`
 }
 
 // entryOverheadBytes is the size of an encoded entry without its key and data.
@@ -85,6 +88,7 @@
 	if stored == nil {
 		return false
 	}
+	stored.urgent = stored.urgent || e.Urgent
 	stored.sends = 0
 	if !stored.active {
 		stored.active = true
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -23,6 +24,9 @@
 	PromptWork     float64                   // prefill work, in prompt tokens of the largest model; 0 without a prompt
 	Exclude        []string                  // IDs of upstreams that have already had the request
 	AcceptsVersion func(version string) bool // nil accepts every version
+	// Isolate makes the attempt run where the fewest others do, because it may crash the
+	// upstream.
+	Isolate bool
 }
 
 // A Slot is the capacity that one attempt uses at an upstream. It must be passed
@@ -83,6 +87,9 @@
 	}
 	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(s) })
 	available = prefer(available, func(u *upstream) bool { return !now.Before(u.refusingUntil) })
+	if c.Isolate {
+		return f.reserve(now, f.emptiest(now, available)), Picked
+	}
 	part := s.partition.upstreamsFor(now, available, c.PromptWork)
 	if f.usesSharedLoad(now, available) {
 		part = f.relieve(part, available)
@@ -147,6 +154,15 @@
 	})
 }
 
+// emptiest returns the upstream with the fewest running attempts, of all instances if
+// their load is known.
+func (f *Fleet) emptiest(now time.Time, us []*upstream) *upstream {
+	if f.usesSharedLoad(now, us) {
+		return slices.MinFunc(us, func(a, b *upstream) int { return cmp.Compare(a.load(), b.load()) })
+	}
+	return f.leastLoaded(us)
+}
+
 // mostPreferred returns the first upstream in the key's rendezvous order that is
 // within the load bound.
 func mostPreferred(us []*upstream, key string) *upstream {
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -48,6 +48,7 @@
 	ChargesPending        Kind = "charges-pending"
 	NotReady              Kind = "not-ready"
 	RequestSuspect        Kind = "request-suspect"
+	CrashesUpstreams      Kind = "crashes-upstreams"
 )
 
 var statusCodes = map[Kind]int{
@@ -73,6 +74,7 @@
 	ChargesPending:        http.StatusServiceUnavailable,
 	NotReady:              http.StatusServiceUnavailable,
 	RequestSuspect:        http.StatusUnprocessableEntity,
+	CrashesUpstreams:      http.StatusServiceUnavailable,
 }
 
 // An Error reports why one request was refused and what the caller can do.
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -113,10 +113,6 @@
 func (c *RolloutCoordinator) HandleEntry(e gossip.Entry) {
 	if service, ok := strings.CutPrefix(e.Key, stopKeyPrefix); ok {
 		c.Router.AdoptTrialState(service, e.Version, trial.Stopped, "stopped by another instance")
-		return
-	}
-	if strings.HasPrefix(e.Key, crashKeyPrefix) {
-		c.Router.mergeCrashCounts(e)
 	}
 }
 
@@ -148,9 +144,6 @@
 		select {
 		case <-ticker.C:
 		case <-c.Router.trialStops:
-		case e := <-c.Router.outgoing:
-			c.Peers.Publish(ctx, e, true)
-			continue
 		case <-ctx.Done():
 			return
 		}
@@ -217,7 +210,7 @@
 // returns the rank of this instance, from 0, and the addresses of the collectors:
 // the first other instances in the ranking. The caller holds Router.mu.
 func (c *RolloutCoordinator) rankInstances(service string) (rank int, collectors []string) {
-	weight := func(instance string) uint64 { return xxhash.Sum64String(service + "\x00" + instance) }
+	weight := func(instance string) uint64 { return rendezvousWeight(service, instance) }
 	live := make([]member.Status, 0, len(c.members))
 	for _, m := range c.members {
 		if m.State <= member.Leaving && m.Instance != c.Instance {
@@ -236,6 +229,11 @@
 	return rank, collectors
 }
 
+// rendezvousWeight is the weight of an instance in the ranking for a key.
+func rendezvousWeight(key, instance string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + instance)
+}
+
 // publishCheck publishes a stop that is not yet recorded and, if report is set,
 // sends this instance's evidence to the collectors.
 func (c *RolloutCoordinator) publishCheck(ctx context.Context, check trialCheck, report bool) {
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"banyanyard/core/cascade"
-	"banyanyard/core/crash"
-	"banyanyard/core/gossip"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
@@ -30,10 +28,12 @@
 	Log       *jsonlog.Logger
 	Metrics   *Metrics
 	Bounds    Bounds // guarded by mu from the first request on
+	// Verdicts keeps the verdicts on requests that crash upstreams; nil if nothing does.
+	Verdicts VerdictStore
 
 	instance string
 	table    atomic.Pointer[routing.Table]
-	outgoing chan gossip.Entry // entries to publish to the other instances
+	crashes  crashMonitor
 	// upstreamsKnown is true once all registrations have been read.
 	upstreamsKnown atomic.Bool
 
@@ -42,7 +42,6 @@
 	retryBudgets map[string]*retry.WindowBudget // guarded by mu; by service
 	trials       map[string]*trial.Trial        // guarded by mu; by service
 	baselines    map[string]*trial.Baseline     // guarded by mu; by service
-	suspects     crash.Suspects                 // guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators map[string]*cascade.Escalator
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
@@ -52,15 +51,12 @@
 	trialStops chan struct{}
 }
 
-// maxOutgoing is the number of entries that can wait to be published.
-const maxOutgoing = 64
-
 // New returns a router for an instance in a failure domain. The exported fields
 // must be set before the first request.
 func New(instance, domain string) *Router {
 	return &Router{
 		instance:        instance,
-		outgoing:        make(chan gossip.Entry, maxOutgoing),
+		crashes:         newCrashMonitor(),
 		fleet:           placement.New(instance, domain),
 		retryBudgets:    map[string]*retry.WindowBudget{},
 		trials:          map[string]*trial.Trial{},
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -12,6 +12,7 @@
 	"banyanyard/core/cascade"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
+	"banyanyard/core/suspect"
 	"banyanyard/io/http1"
 )
 
@@ -66,6 +67,9 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
+	probe         bool           // sent despite a verdict, to find out whether it still holds
+	mayCrash      bool           // an upstream crashed when it was about to write the answer
+	cachedTraits  suspect.Traits // see traits
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -87,10 +91,6 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline, errDeadline)
 	defer cancel()
 	r.recordRequest(q.Service)
-	if refused := r.refuseSuspect(q); refused != nil {
-		e.recordResult(refused)
-		return refused
-	}
 	err := e.run(ctx)
 	e.recordResult(err)
 	return err
@@ -137,6 +137,9 @@
 func (e *execution) pickUpstream(ctx context.Context) (*placement.Slot, error) {
 	waitUntil := time.Now().Add(time.Duration(queueObjectiveFactor * float64(e.request.Route.LatencyObjective)))
 	for {
+		if err := e.refuseSuspect(ctx); err != nil {
+			return nil, err
+		}
 		slot, pickResult := e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
 		if slot != nil {
 			return slot, nil
@@ -172,6 +175,7 @@
 		AffinityKey: q.Prompt.CacheKey(),
 		PromptWork:  e.promptWork(),
 		Exclude:     e.tried,
+		Isolate:     e.probe || e.mayCrash || e.router.crashes.isSuspected(e),
 	}
 }
 
@@ -219,6 +223,9 @@
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
 		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.kind(), e.request.Route.LatencyObjective))
 	}
+	e.router.takeTurn(e)
+	ctx = e.router.crashes.begin(ctx, e, &slot.Upstream)
+	defer e.router.crashes.end(e)
 	answer, err := e.router.Transport.Send(ctx, a)
 	if err != nil {
 		return e.classifySendError(ctx, err, start)
@@ -329,6 +336,7 @@
 		switch events {
 		case 0:
 			sampleStart = lastEvent
+			e.router.crashes.markWriting(e)
 		case paceSampleEvents:
 			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
 			e.router.recordEventGap(e, slot, eventGap)
@@ -398,9 +406,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return context.Cause(ctx)
-	case result.outcome == placement.Canceled:
-		return result.err
-	case !result.notRun && !kind.Repeatable():
+	case result.outcome == placement.Canceled, !result.notRun && !kind.Repeatable(), e.crashedItsUpstream(result):
 		return result.err
 	case e.attempts >= e.request.Route.MaxAttempts && !notSent(result) && !result.upstreamLost:
 		return result.err
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -139,12 +139,17 @@
 // release releases the slot of an attempt and records its outcome. It reports
 // whether the upstream became unreachable.
 func (r *Router) release(e *execution, s *placement.Slot, result attemptResult) (lost bool) {
+	switch {
+	case upstreamCrashed(result):
+		r.recordBroken(e, s, result)
+	case result.done:
+		r.recordAnswer(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.fleet.Release(now, s, result.outcome)
 	r.recordOutcome(e, s, result)
-	r.recordCrashEvidence(now, e.request, s, result)
 	broken := result.outcome == placement.Silent || result.outcome == placement.Broken
 	return broken && r.fleet.IsUnreachable(now, s)
 }
@@ -212,7 +217,7 @@
 	for _, t := range r.trials {
 		t.ExpireSessions(now)
 	}
-	r.suspects.Expire(now)
+	r.crashes.expire(now)
 	for id, at := range r.sessionLastSeen {
 		if now.Sub(at) > sessionRetention {
 			delete(r.sessionLastSeen, id)
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -11,7 +11,9 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,10 +32,20 @@
 	tickInterval = 200 * time.Millisecond
 	// callBacklog bounds the calls that wait for the loop.
 	callBacklog = 256
-	// maxEntriesBytes bounds the entries in one message.
+	// maxEntriesBytes bounds the entries in one probe, maxPushBytes those in a message
+	// with urgent entries.
 	maxEntriesBytes = 2400
-	// pushFanout is the number of instances that urgent entries are sent to at once.
+	maxPushBytes    = 24 << 10
+	// pushFanout is the number of instances that urgent entries are sent to at once, by
+	// each instance that learns of them.
 	pushFanout = 6
+	// pushDelay is how long an urgent entry from another instance waits, so that those
+	// that come together are passed on together.
+	pushDelay = 20 * time.Millisecond
+	// urgentRetention is how long an urgent entry is kept.
+	urgentRetention = time.Minute
+	// maxUrgentKept bounds the urgent entries that are kept.
+	maxUrgentKept = 4096
 	// settleTime is how long the rows must be unchanged before they are compared
 	// with those of another instance: the store reports a change to most
 	// instances at nearly the same time.
@@ -48,6 +60,8 @@
 	HandleMembers(all []member.Status)
 	// HandleEntry takes an entry that another instance has published.
 	HandleEntry(e gossip.Entry)
+	// Introduction returns entries that another instance needs when it starts.
+	Introduction() []gossip.Entry
 	// HandleReport takes what another instance has observed, and returns a summary
 	// of the observations of all. It is called concurrently.
 	HandleReport(e gossip.Entry) gossip.Entry
@@ -94,10 +108,18 @@
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 	loads          load.Collector
+	pushScheduled  bool // pushEntries is scheduled
+	urgent         []urgentEntry
 	relayNumber    uint64 // of the newest relay of this instance
 	relaysSeen     relay.Seen
 }
 
+// An urgentEntry is an urgent entry that is kept until it is forgotten.
+type urgentEntry struct {
+	key      string
+	forgetAt time.Time
+}
+
 // New returns the Mesh of the instance self. A nil dial means tcp.DialContext.
 func New(self member.Identity, events EventHandler, store StoreFollower, log *jsonlog.Logger, dial tcp.DialFunc) *Mesh {
 	m := &Mesh{self: self, events: events, store: store, log: log, calls: make(chan func(*state), callBacklog)}
@@ -168,13 +190,40 @@
 }
 
 // Publish spreads an entry by gossip. An urgent entry is sent to some instances at
-// once, others go out with the next probes.
+// once, which pass it on at once; others go out with the next probes.
 func (m *Mesh) Publish(ctx context.Context, e gossip.Entry, urgent bool) {
-	m.enqueue(ctx, func(s *state) {
-		if s.entries.Put(e) && urgent {
-			s.pushEntries()
-		}
-	})
+	e.Urgent = urgent
+	m.enqueue(ctx, func(s *state) { s.putEntry(time.Now(), e) })
+}
+
+// putEntry stores an entry, and schedules a push if it is urgent. It reports whether the
+// entry is newer than the stored one.
+func (s *state) putEntry(now time.Time, e gossip.Entry) bool {
+	if !s.entries.Put(e) {
+		return false
+	}
+	if !e.Urgent {
+		return true
+	}
+	s.urgent = append(s.urgent, urgentEntry{key: e.Key, forgetAt: now.Add(urgentRetention)})
+	if len(s.urgent) > maxUrgentKept {
+		s.forgetUrgent(s.urgent[0].forgetAt)
+	}
+	if !s.pushScheduled {
+		s.pushScheduled = true
+		time.AfterFunc(pushDelay, func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
+	}
+	return true
+}
+
+// forgetUrgent removes the urgent entries that are due.
+func (s *state) forgetUrgent(now time.Time) {
+	n := 0
+	for n < len(s.urgent) && !now.Before(s.urgent[n].forgetAt) {
+		s.entries.Delete(s.urgent[n].key)
+		n++
+	}
+	s.urgent = slices.Delete(s.urgent, 0, n)
 }
 
 // Report sends the instance at an address what this one has observed, and returns
@@ -210,24 +259,28 @@
 	}
 	s.publishMemberChanges()
 	s.updateFollowing(now)
+	s.forgetUrgent(now)
 }
 
-// pushEntries sends pending entries to up to pushFanout live instances at once.
+// pushEntries sends pending entries to up to pushFanout live instances at once, chosen at
+// random.
 func (s *state) pushEntries() {
-	sent := 0
-	for _, other := range s.detector.Members() {
-		if other.State >= member.Suspect || sent == pushFanout {
-			continue
-		}
-		sent++
-		go s.mesh.probe(s.ctx, member.Probe{Address: other.Address, ID: other.ID}, s.newExchange(other.ID))
+	s.pushScheduled = false
+	others := slices.DeleteFunc(s.detector.Members(), func(m member.Status) bool { return m.State >= member.Suspect })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	entries := s.entries.Outgoing(len(others)+1, maxPushBytes)
+	for _, other := range others[:min(len(others), pushFanout)] {
+		go s.mesh.probe(s.ctx, member.Probe{Address: other.Address, ID: other.ID}, s.newExchangeWith(other.ID, slices.Clone(entries)))
 	}
 }
 
 // newExchange returns the message for another instance that is sent as a probe or
 // as the answer to one.
 func (s *state) newExchange(to string) peer.Exchange {
-	entries := s.entries.Outgoing(len(s.detector.Members())+1, maxEntriesBytes)
+	return s.newExchangeWith(to, s.entries.Outgoing(len(s.detector.Members())+1, maxEntriesBytes))
+}
+
+func (s *state) newExchangeWith(to string, entries []gossip.Entry) peer.Exchange {
 	if suspicion, ok := s.detector.Suspicion(to); ok {
 		entries = append(entries, memberEntry(suspicion))
 	}
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -38,7 +38,7 @@
 		s.detector.Merge(now, status.Member())
 		return
 	}
-	if s.entries.Put(e) {
+	if s.putEntry(now, e) {
 		s.mesh.events.HandleEntry(e)
 	}
 }
@@ -50,7 +50,7 @@
 
 // introductionEntries returns the members that an instance of a failure domain is
 // told of when it starts: those that follow the store for that domain, and some
-// others. Gossip does not repeat entries that have already reached all instances.
+// others, and the entries of the EventHandler. Gossip does not repeat entries that have already reached all instances.
 func (s *state) introductionEntries(domain string) []gossip.Entry {
 	var own, others []member.Status
 	for _, m := range s.detector.Members() {
@@ -67,7 +67,7 @@
 	for _, m := range append(own[:min(maxIntroduced, len(own))], others...) {
 		entries = append(entries, memberEntry(m))
 	}
-	return entries
+	return append(entries, s.mesh.events.Introduction()...)
 }
 
 // applyRows stores rows from another instance and passes the newer ones on.
