node/exchange, platform: log the limit that an upstream names in its answers

The log showed the attempts, but not the limits. Limits kept by each instance alone, and ways past them, are ruled out as the cause.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -101,6 +101,9 @@
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1
 	// if it reports none.
 	Confidence int
+	// Limit is the number of requests a second that the upstream takes from all instances
+	// together, as long as its answers say so; 0 if it names none.
+	Limit float64
 }
 
 // An Event is one event of a stream, with its framing.
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"time"
 
 	"banyanyard/core/placement"
@@ -69,6 +70,9 @@
 	if result.eventGap > 0 {
 		line.Millis("pace-ms", result.eventGap)
 	}
+	if result.limit > 0 {
+		line.Str("limit", strconv.FormatFloat(result.limit, 'g', 6, 64))
+	}
 	if result.outcome == placement.Broken {
 		line.Str("prompt-parts", e.request.Prompt.PartIDs()).Millis("writing-ms", result.writing)
 	}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -130,6 +130,7 @@
 	firstEvent   time.Duration // until the first event or the answer; 0 if there was none
 	eventGap     time.Duration // average between the first events; 0 if there were too few
 	status       int
+	limit        float64       // that the answer named, in requests a second; 0 if none
 	writing      time.Duration // from the first event to the end of the attempt; 0 without an event
 }
 
@@ -235,6 +236,7 @@
 	result := e.receive(ctx, answer, slot)
 	result.took = time.Since(start)
 	result.status = answer.Head().Status
+	result.limit = answer.Head().Limit
 	if result.outcome == placement.Completed {
 		result.firstEvent = headLatency
 	}
