core/share, core/placement: keep the limits that upstreams name in parts

Cause: the field was not read. Class: a limit that all instances share is kept by none. The next of the class, found by reading: the division of cold rates gave an instance whole requests a second only, and one that had not met the others yet took a whole rate for its own. Change: core/share divides a limit into token buckets whose rates and bursts add up to less than what upstreams tolerate in any window; where a part is below one token, few instances hold all of it. placement keeps cold rates and named limits by it, for every attempt, where the upstream is picked. Changes of a limit are urgent gossip, and an instance that starts is told by the first other one. A request that no limit lets pass in time is refused at once, with that time in Retry-After. Urgent entries are pushed at most every 150 ms. Why it works: TestNamedLimitIsKeptByAllInstances (0.4 to 8.3 a second, an instance that stops) and TestLimitThatEndsIsForgotten failed before and pass; TestNamedLimitHoldsAcrossInstances draws 1 to 400 instances, joins, restarts and late news; TestNamedLimitCheckDetectsExcess shows that it fails when limits are not kept.

--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -11,6 +11,6 @@
 //     is disabled, or the caller's filter excludes its version;
 //   - an upstream that has started draining gets no new attempts until it
 //     restarts;
-//   - a cold upstream gets at most this instance's share of its cold rate in
-//     any sliding second.
+//   - an upstream that is cold or names a limit gets at most this instance's part of
+//     that limit, whatever the attempt is for; see package share.
 package placement
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,6 +31,8 @@
 	domainHealths   map[string]*domainHealth // by failure domain
 	loadSetAt       time.Time                // when SetLoad was last called; zero if never
 	random          *rand.Rand
+	memberRound     int       // incremented when instanceNames changes
+	firstRegistered time.Time // when the first upstream was registered
 }
 
 type service struct {
@@ -52,16 +53,18 @@
 		disabledDomains: map[string]bool{},
 		domainHealths:   map[string]*domainHealth{},
 		random:          newRandom(instance),
+		memberRound:     1,
 	}
 }
 
-// SetInstances sets the names of all instances that may be running. The rates of
-// cold upstreams are divided among them. This instance is always included.
+// SetInstances sets the names of all instances that may be running. The limits of
+// upstreams are divided among them. This instance is always included.
 func (f *Fleet) SetInstances(names []string) {
 	f.instanceNames = slices.Clone(names)
 	if !slices.Contains(f.instanceNames, f.instance) {
 		f.instanceNames = append(f.instanceNames, f.instance)
 	}
+	f.memberRound++
 }
 
 // Len returns the number of known upstreams.
@@ -99,7 +102,10 @@
 	if u != nil {
 		f.remove(u)
 	}
-	u = &upstream{Upstream: r, recentAttempts: newRecentAttempts(), partitionRank: rendezvousScore("", r.ID)}
+	if f.firstRegistered.IsZero() {
+		f.firstRegistered = now
+	}
+	u = &upstream{Upstream: r, partitionRank: rendezvousScore("", r.ID)}
 	f.setColdLeft(now, u, r.ColdLeft)
 	f.byID[r.ID] = u
 	s := f.service(r.Service)
@@ -177,26 +183,3 @@
 func (f *Fleet) acceptsWork(now time.Time, u *upstream) bool {
 	return !u.Draining && !u.isGone(now) && !f.disabledDomains[u.FailureDomain]
 }
-
-// coldLimit returns how many requests this instance may send to a cold upstream
-// in any second. The limits of all instances add up to at most the rate: each
-// gets the rate divided by their number, rounded down; if that is 0, the
-// instances that rank first by rendezvous hashing get 1 each, as many as the rate
-// allows.
-func (f *Fleet) coldLimit(u *upstream, perSecond float64) int {
-	share := int(math.Floor(perSecond)) / len(f.instanceNames)
-	if share > 0 {
-		return share
-	}
-	ahead := 0
-	own := rendezvousScore(u.ID, f.instance)
-	for _, name := range f.instanceNames {
-		if name != f.instance && rendezvousScore(u.ID, name) > own {
-			ahead++
-		}
-	}
-	if ahead < int(math.Floor(perSecond)) {
-		return 1
-	}
-	return 0
-}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -53,7 +53,7 @@
 	// attempts.
 	NoUpstream
 	// UpstreamsBusy means that each upstream that meets the criteria is
-	// unreachable or, while cold, at its rate limit.
+	// unreachable or at a limit; see ReadyIn.
 	UpstreamsBusy
 )
 
@@ -72,7 +72,7 @@
 	}
 	candidates := make([]*upstream, 0, len(s.upstreams))
 	for _, u := range s.upstreams {
-		if f.acceptsWork(now, u) && (c.AcceptsVersion == nil || c.AcceptsVersion(u.Version)) && !slices.Contains(c.Exclude, u.ID) {
+		if f.meets(now, u, c) {
 			candidates = append(candidates, u)
 		}
 	}
@@ -80,7 +80,7 @@
 		return nil, NoUpstream
 	}
 	available := slices.DeleteFunc(candidates, func(u *upstream) bool {
-		return u.isDown(now) || now.Before(f.domainHealth(u.FailureDomain).downUntil) || !f.hasColdCapacity(now, s, u)
+		return u.isDown(now) || now.Before(f.domainHealth(u.FailureDomain).downUntil) || f.wait(now, s, u) > 0
 	})
 	if len(available) == 0 {
 		return nil, UpstreamsBusy
@@ -113,13 +113,9 @@
 	return f.leastLoaded(us)
 }
 
-// hasColdCapacity reports whether the upstream is warm, or cold and below this
-// instance's share of its cold rate.
-func (f *Fleet) hasColdCapacity(now time.Time, s *service, u *upstream) bool {
-	if s.coldRate == 0 || !u.isCold(now) {
-		return true
-	}
-	return int(u.recentAttempts.Sum(now)) < f.coldLimit(u, s.coldRate)
+// meets reports whether the upstream accepts new attempts and meets the criteria.
+func (f *Fleet) meets(now time.Time, u *upstream, c Criteria) bool {
+	return f.acceptsWork(now, u) && (c.AcceptsVersion == nil || c.AcceptsVersion(u.Version)) && !slices.Contains(c.Exclude, u.ID)
 }
 
 // prefer returns the upstreams that satisfy ok, or all if none does.
@@ -190,7 +186,7 @@
 	u.runningAttempts++
 	u.totalAttempts++
 	u.startedSince++
-	u.recentAttempts.Add(now, 1)
+	f.spend(now, f.service(u.Service), u)
 	slot := &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, Load: -1, u: u}
 	if f.usesSharedLoad(now, []*upstream{u}) {
 		slot.Load = u.load()
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -172,7 +172,7 @@
 // Checks random schedules of several instances that send to one cold upstream,
 // some with an incomplete list of instances: the requests in any second must stay
 // within the upstream's cold rate and the deployment's tolerance. The test fails
-// if hasColdCapacity always returns true.
+// if the limits of upstreams are not kept.
 func TestColdRateHoldsAcrossInstances(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := float64(rapid.IntRange(1, 40).Draw(t, "rate"))
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"banyanyard/core/window"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -30,10 +28,14 @@
 type upstream struct {
 	Upstream
 
-	partitionRank  uint64    // order in a promptPartition, the same at all instances
-	goneAt         time.Time // gets no new attempts from this time on; zero while registered
-	coldUntil      time.Time
-	recentAttempts window.Counter // attempts of this instance in the newest second
+	partitionRank uint64    // order in a promptPartition, the same at all instances
+	goneAt        time.Time // gets no new attempts from this time on; zero while registered
+	coldUntil     time.Time
+	cold          limiter // of its rate while it is cold
+	named         limiter // of the limit that it names
+	namedAt       time.Time
+	namedTold     float64 // rate that the other instances have been told
+	namedVersion  uint64  // of the limit that it names
 
 	totalAttempts   int     // attempts of this instance so far
 	runningAttempts int     // attempts of this instance in progress
@@ -45,8 +47,6 @@
 	errorRate       movingRate
 }
 
-func newRecentAttempts() window.Counter { return window.Counter{Span: time.Second} }
-
 func (u *upstream) isGone(now time.Time) bool { return !u.goneAt.IsZero() && !now.Before(u.goneAt) }
 
 func (u *upstream) isDown(now time.Time) bool { return now.Before(u.downUntil) }
--- a/node/exchange/crash_coordinator.go
+++ b/node/exchange/crash_coordinator.go
@@ -31,11 +31,10 @@
 	Newest(key string) uint64
 }
 
-// A CrashCoordinator spreads the reports of crashes and the verdicts of a router to the
-// other instances and the store, and adopts theirs.
+// A CrashCoordinator evaluates the crashes that a router and the other instances report,
+// adopts the verdicts of others and of the store, and writes those of the router to it.
 type CrashCoordinator struct {
 	Router   *Router
-	Peers    PeerClient
 	Instance string
 
 	members []member.Status      // guarded by Router.mu
@@ -136,11 +135,6 @@
 	var again <-chan time.Time
 	for {
 		select {
-		case e := <-m.outgoing:
-			c.Peers.Publish(ctx, e, true)
-			if !strings.HasPrefix(e.Key, verdictKeyPrefix) {
-				continue
-			}
 		case <-m.evidence:
 		case <-again:
 		case <-ctx.Done():
--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -90,8 +90,6 @@
 	table   suspect.Table                  // guarded by mu
 	running map[*execution]*runningAttempt // guarded by mu
 	reports map[string]*crashReport        // guarded by mu; by start of the upstream
-	// outgoing holds entries to publish to the other instances.
-	outgoing chan gossip.Entry
 	// evidence signals that the table has changed. Its capacity is 1.
 	evidence chan struct{}
 }
@@ -111,11 +109,8 @@
 	scheduled  bool // a flush is scheduled
 }
 
-// maxOutgoing is the number of entries that can wait to be published.
-const maxOutgoing = 64
-
 func newCrashMonitor() crashMonitor {
-	return crashMonitor{running: map[*execution]*runningAttempt{}, reports: map[string]*crashReport{}, outgoing: make(chan gossip.Entry, maxOutgoing), evidence: make(chan struct{}, 1)}
+	return crashMonitor{running: map[*execution]*runningAttempt{}, reports: map[string]*crashReport{}, evidence: make(chan struct{}, 1)}
 }
 
 // startOf identifies the start of an upstream.
@@ -279,7 +274,7 @@
 	m.table.RecordCrash(time.Now(), reported)
 	m.signalEvidence()
 	r.Log.Line("upstream-crashed").Str("upstream", start).Int("attempts", int64(len(candidates))).Str("likeliest", candidates[0].Traits.String()).End()
-	r.queueEntry(crashKeyPrefix+start+"/"+r.instance, uint64(len(candidates)), reported)
+	r.publish(crashKeyPrefix+start+"/"+r.instance, uint64(len(candidates)), reported)
 }
 
 func (m *crashMonitor) expire(now time.Time) {
@@ -312,7 +307,8 @@
 // the monitor's mutex.
 func (r *Router) publishVerdict(v suspect.Verdict, source string) {
 	r.logVerdict(&v, source)
-	r.queueEntry(verdictKeyPrefix+v.Traits.Key(), v.Version(), v)
+	r.crashes.signalEvidence()
+	r.publish(verdictKeyPrefix+v.Traits.Key(), v.Version(), v)
 }
 
 func (r *Router) logVerdict(v *suspect.Verdict, source string) {
@@ -320,20 +316,14 @@
 		Int("probes", int64(v.Probes)).Bool("cleared", v.Cleared).Str("source", source).End()
 }
 
-// queueEntry queues an entry to publish. It never blocks: if the queue is full, the
-// entry is dropped and counted.
-func (r *Router) queueEntry(key string, version uint64, value any) {
+// publish queues a value for the other instances.
+func (r *Router) publish(key string, version uint64, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		r.Log.Line("news-not-sent").Str("key", key).Err(err).End()
 		return
 	}
-	select {
-	case r.crashes.outgoing <- gossip.Entry{Key: key, Version: version, Data: data}:
-	default:
-		r.Metrics.unpublished.Inc()
-		r.Log.Line("news-not-sent").Str("key", key).Err(errors.New("the queue is full")).End()
-	}
+	r.queueEntry(gossip.Entry{Key: key, Version: version, Data: data})
 }
 
 // refuseSuspect returns a refusal if the request would crash its upstream, or nil. It
@@ -369,7 +359,7 @@
 	}
 	now := time.Now()
 	if key, ok := m.table.TakeTurn(now, e.traits()); ok {
-		r.queueEntry(turnKeyPrefix+key+"/"+r.instance, uint64(now.UnixMilli()), e.request.ID)
+		r.publish(turnKeyPrefix+key+"/"+r.instance, uint64(now.UnixMilli()), e.request.ID)
 	}
 }
 
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"banyanyard/core/cascade"
+	"banyanyard/core/gossip"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
@@ -34,6 +35,7 @@
 	instance string
 	table    atomic.Pointer[routing.Table]
 	crashes  crashMonitor
+	outgoing chan gossip.Entry // entries to publish to the other instances
 	// upstreamsKnown is true once all registrations have been read.
 	upstreamsKnown atomic.Bool
 
@@ -51,12 +53,16 @@
 	trialStops chan struct{}
 }
 
+// maxOutgoing is the number of entries that can wait to be published.
+const maxOutgoing = 256
+
 // New returns a router for an instance in a failure domain. The exported fields
 // must be set before the first request.
 func New(instance, domain string) *Router {
 	return &Router{
 		instance:        instance,
 		crashes:         newCrashMonitor(),
+		outgoing:        make(chan gossip.Entry, maxOutgoing),
 		fleet:           placement.New(instance, domain),
 		retryBudgets:    map[string]*retry.WindowBudget{},
 		trials:          map[string]*trial.Trial{},
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -154,6 +154,11 @@
 		if pickResult == placement.NoUpstream && e.router.upstreamsKnown.Load() || time.Now().After(waitUntil) {
 			return nil, e.noUpstreamError(pickResult)
 		}
+		if pickResult == placement.UpstreamsBusy {
+			if refused := e.refuseBusy(pickResult, waitUntil); refused != nil {
+				return nil, refused
+			}
+		}
 		if err := sleep(ctx, pickRetryInterval); err != nil {
 			return nil, err
 		}
@@ -198,7 +203,7 @@
 	return tokens * costs[e.models[e.modelIndex]] / largest
 }
 
-func (e *execution) noUpstreamError(r placement.PickResult) error {
+func (e *execution) noUpstreamError(r placement.PickResult) *refusal.Error {
 	kind := refusal.NoUpstream
 	return refusal.New(kind, "send the request again after the time in Retry-After", "no upstream of service %q is available (%s)", e.request.Service, r).WithRetryAfter(retryAfter())
 }
@@ -232,6 +237,7 @@
 		return e.classifySendError(ctx, err, start)
 	}
 	defer answer.Close()
+	e.router.recordLimit(slot, answer.Head(), start)
 	headLatency := time.Since(start)
 	result := e.receive(ctx, answer, slot)
 	result.took = time.Since(start)
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -39,9 +39,10 @@
 	// pushFanout is the number of instances that urgent entries are sent to at once, by
 	// each instance that learns of them.
 	pushFanout = 6
-	// pushDelay is how long an urgent entry from another instance waits, so that those
-	// that come together are passed on together.
-	pushDelay = 20 * time.Millisecond
+	// pushDelay is how long an urgent entry waits, so that those that come together are
+	// passed on together, and pushInterval the minimum time between two pushes.
+	pushDelay    = 20 * time.Millisecond
+	pushInterval = 150 * time.Millisecond
 	// urgentRetention is how long an urgent entry is kept.
 	urgentRetention = time.Minute
 	// maxUrgentKept bounds the urgent entries that are kept.
@@ -108,7 +109,8 @@
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 	loads          load.Collector
-	pushScheduled  bool // pushEntries is scheduled
+	pushScheduled  bool      // pushEntries is scheduled
+	pushed         time.Time // when pushEntries was last called
 	urgent         []urgentEntry
 	relayNumber    uint64 // of the newest relay of this instance
 	relaysSeen     relay.Seen
@@ -211,7 +213,7 @@
 	}
 	if !s.pushScheduled {
 		s.pushScheduled = true
-		time.AfterFunc(pushDelay, func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
+		time.AfterFunc(max(pushDelay, pushInterval-now.Sub(s.pushed)), func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
 	}
 	return true
 }
@@ -266,6 +268,7 @@
 // random.
 func (s *state) pushEntries() {
 	s.pushScheduled = false
+	s.pushed = time.Now()
 	others := slices.DeleteFunc(s.detector.Members(), func(m member.Status) bool { return m.State >= member.Suspect })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	entries := s.entries.Outgoing(len(others)+1, maxPushBytes)
