platform, io/http1: a stream without length that ends within an event was broken off

What callers saw: a stream with neither a length nor chunks, whose upstream crashed as it began to write, was forwarded as a complete stream without events. Cause: only the end of the connection ends such a stream, and a crash closes it too. The end within an event was an error, but not one that counts as a broken connection, so the crash accused no request; the end before the first event counted as a complete answer, which clears requests that crash upstreams. What remains: one that is cut between two events cannot be told from a complete one.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -141,7 +141,8 @@
 		return nil, &BrokenError{Address: address, Reused: cn.reused, Cause: err}
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-		body: response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
+		EndsWithConn: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		body:         response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
 }
 
 // getConn returns an idle connection or opens a new one.
@@ -311,6 +312,9 @@
 	Status        int
 	Header        http.Header
 	ContentLength int64 // -1 if unknown
+	// EndsWithConn is true if the body has neither a length nor chunks, so that only the
+	// end of the connection ends it, and a broken one may look the same.
+	EndsWithConn bool
 
 	body      io.ReadCloser
 	connClose bool
@@ -330,13 +334,18 @@
 		r.complete = true
 		return n, io.EOF
 	case r.ctx.Err() != nil:
-		err = &BrokenError{Address: r.conn.address, Reused: r.conn.reused, Cause: context.Cause(r.ctx)}
+		err = r.Broken(context.Cause(r.ctx))
 	default:
-		err = &BrokenError{Address: r.conn.address, Reused: r.conn.reused, Cause: err}
+		err = r.Broken(err)
 	}
 	return n, err
 }
 
+// Broken returns a BrokenError for a response that has turned out to be incomplete.
+func (r *Response) Broken(cause error) error {
+	return &BrokenError{Address: r.conn.address, Reused: r.conn.reused, Cause: cause}
+}
+
 // SetReadDeadline sets the deadline for reads; the zero time means none.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
 
