core/gossip, node/mesh: urgent entries are retired before they are forgotten

Cause: urgent entries were deleted a minute after an instance learnt of them. One that learnt later and still sends it would bring it back, and each instance would pass it on again; and an entry that had changed meanwhile was deleted by the time of its first version. Change: an entry stops being sent after a minute, its version is remembered for ten, and both look at the version. At most 8,192 versions are remembered.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -68,9 +68,10 @@
 
 type storedEntry struct {
 	Entry
-	sends  int
-	active bool
-	urgent bool
+	sends   int
+	active  bool
+	urgent  bool
+	retired bool // see Retire
 }
 
 // priority is higher for entries that are sent first.
@@ -108,7 +109,7 @@
 		s.entries = map[string]*storedEntry{}
 	}
 	stored := s.entries[e.Key]
-	if stored != nil && !newer(&e, &stored.Entry) {
+	if stored != nil && (!newer(&e, &stored.Entry) || stored.retired && e.Version == stored.Version) {
 		return nil
 	}
 	if stored == nil {
@@ -118,6 +119,7 @@
 		s.checksum -= entryHash(&stored.Entry)
 	}
 	stored.Entry = e
+	stored.retired = false
 	s.checksum += entryHash(&e)
 	return stored
 }
@@ -131,6 +133,13 @@
 	return stored.Entry, true
 }
 
+// DeleteVersion removes a key if it still has the version.
+func (s *Store) DeleteVersion(key string, version uint64) {
+	if stored := s.entries[key]; stored != nil && stored.Version == version {
+		s.Delete(key)
+	}
+}
+
 // Delete removes a key. It is stored again if another instance still sends it.
 func (s *Store) Delete(key string) {
 	stored := s.entries[key]
@@ -143,6 +152,19 @@
 	s.active = slices.DeleteFunc(s.active, func(x *storedEntry) bool { return x == stored })
 }
 
+// Retire drops the data of a version of a key and stops sending it. Only a higher version
+// replaces it, so that instances which still send the old one do not spread it again.
+func (s *Store) Retire(key string, version uint64) {
+	stored := s.entries[key]
+	if stored == nil || stored.Version != version {
+		return
+	}
+	stored.Data = nil
+	stored.retired = true
+	stored.active = false
+	s.active = slices.DeleteFunc(s.active, func(x *storedEntry) bool { return x == stored })
+}
+
 // Len returns the number of keys.
 func (s *Store) Len() int { return len(s.entries) }
 
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -132,3 +132,23 @@
 		}
 	}
 }
+
+// TestRetiredEntryIsNotSpreadAgain checks that an entry which an instance has retired does
+// not come back from one that still sends it, while a newer version does.
+func TestRetiredEntryIsNotSpreadAgain(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	old := Entry{Key: "k", Version: 1, Data: []byte(`"old"`)}
+	is.True(s.Put(old))
+	s.Retire("k", 2) // another version
+	is.Equal(len(s.Outgoing(3, 1000)), 1)
+	s.Retire("k", 1)
+	is.True(!s.Put(old))
+	is.Equal(len(s.Outgoing(3, 1000)), 0)
+	is.True(s.Put(Entry{Key: "k", Version: 2, Data: []byte(`"new"`)}))
+	is.Equal(len(s.Outgoing(3, 1000)), 1)
+	s.DeleteVersion("k", 1)
+	is.Equal(s.Len(), 1)
+	s.DeleteVersion("k", 2)
+	is.Equal(s.Len(), 0)
+}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -43,10 +43,12 @@
 	// passed on together, and pushInterval the minimum time between two pushes.
 	pushDelay    = 20 * time.Millisecond
 	pushInterval = 150 * time.Millisecond
-	// urgentRetention is how long an urgent entry is kept.
-	urgentRetention = time.Minute
-	// maxUrgentKept bounds the urgent entries that are kept.
-	maxUrgentKept = 4096
+	// urgentSendTime is how long an urgent entry is passed on, and urgentRetention how long
+	// its version is remembered: much longer, so that no other instance still sends it.
+	urgentSendTime  = time.Minute
+	urgentRetention = 10 * time.Minute
+	// maxUrgentKept bounds the urgent entries that are remembered.
+	maxUrgentKept = 8192
 	// settleTime is how long the rows must be unchanged before they are compared
 	// with those of another instance: the store reports a change to most
 	// instances at nearly the same time.
@@ -109,17 +111,19 @@
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 	loads          load.Collector
-	pushScheduled  bool      // pushEntries is scheduled
-	pushed         time.Time // when pushEntries was last called
-	urgent         []urgentEntry
-	relayNumber    uint64 // of the newest relay of this instance
+	pushScheduled  bool          // pushEntries is scheduled
+	pushed         time.Time     // when pushEntries was last called
+	urgent         []urgentEntry // oldest first
+	urgentSent     int           // number of the oldest in urgent that have been retired
+	relayNumber    uint64        // of the newest relay of this instance
 	relaysSeen     relay.Seen
 }
 
-// An urgentEntry is an urgent entry that is kept until it is forgotten.
+// An urgentEntry is an urgent entry that is to be retired and forgotten.
 type urgentEntry struct {
-	key      string
-	forgetAt time.Time
+	key     string
+	version uint64
+	learnt  time.Time
 }
 
 // New returns the Mesh of the instance self. A nil dial means tcp.DialContext.
@@ -207,10 +211,7 @@
 	if !e.Urgent {
 		return true
 	}
-	s.urgent = append(s.urgent, urgentEntry{key: e.Key, forgetAt: now.Add(urgentRetention)})
-	if len(s.urgent) > maxUrgentKept {
-		s.forgetUrgent(s.urgent[0].forgetAt)
-	}
+	s.urgent = append(s.urgent, urgentEntry{key: e.Key, version: e.Version, learnt: now})
 	if !s.pushScheduled {
 		s.pushScheduled = true
 		time.AfterFunc(max(pushDelay, pushInterval-now.Sub(s.pushed)), func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
@@ -218,14 +219,19 @@
 	return true
 }
 
-// forgetUrgent removes the urgent entries that are due.
+// forgetUrgent retires urgent entries that have been passed on, and removes old ones.
 func (s *state) forgetUrgent(now time.Time) {
+	for s.urgentSent < len(s.urgent) && now.Sub(s.urgent[s.urgentSent].learnt) >= urgentSendTime {
+		s.entries.Retire(s.urgent[s.urgentSent].key, s.urgent[s.urgentSent].version)
+		s.urgentSent++
+	}
 	n := 0
-	for n < len(s.urgent) && !now.Before(s.urgent[n].forgetAt) {
-		s.entries.Delete(s.urgent[n].key)
+	for n < len(s.urgent) && (now.Sub(s.urgent[n].learnt) >= urgentRetention || len(s.urgent)-n > maxUrgentKept) {
+		s.entries.DeleteVersion(s.urgent[n].key, s.urgent[n].version)
 		n++
 	}
 	s.urgent = slices.Delete(s.urgent, 0, n)
+	s.urgentSent = max(0, s.urgentSent-n)
 }
 
 // Report sends the instance at an address what this one has observed, and returns
