node/exchange: the instance whose probe the store has accepted sends it

What callers saw: requests with a part that no longer crashes upstreams stayed refused for 8 minutes more, now and then. Cause: the row of the probe could come back to the instance that wrote it, through the store's feed, before its write had returned. Merging the verdict then changed nothing, which was taken to mean that another instance has the probe; the probe was lost. TestProbeIsSentThoughItsRowComesBackFirst fails every time without the change. Change: the write's success alone decides.

--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -384,9 +384,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if changed, _ := m.table.Merge(time.Now(), v); !changed {
-		return false
-	}
+	m.table.Merge(time.Now(), v)
 	e.router.publishVerdict(v, "probed here")
 	e.probe = true
 	return true
--- /dev/null
+++ b/node/exchange/crashes_test.go
@@ -0,0 +1,91 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanyard/core/routing"
+	"banyanyard/core/suspect"
+	"banyanyard/io/http1"
+
+	"github.com/matryer/is"
+)
+
+// An echoingStore is a VerdictStore whose rows come back to the instance before the write
+// that made them has returned.
+type echoingStore struct{ coordinator *CrashCoordinator }
+
+func (s echoingStore) Write(_ context.Context, v suspect.Verdict) error {
+	s.coordinator.ApplyStored(v)
+	return nil
+}
+
+func (echoingStore) Newest(string) uint64 { return 0 }
+
+// TestProbeIsSentThoughItsRowComesBackFirst checks that the instance which has written a
+// probe to the store sends it, also if it has already learnt of it from the store.
+func TestProbeIsSentThoughItsRowComesBackFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(6)
+		defer r.Log.Close()
+		coordinator := &CrashCoordinator{Router: r, Instance: "i0"}
+		r.Verdicts = echoingStore{coordinator}
+		request := func(n int) *Request {
+			return &Request{ID: fmt.Sprint(n), Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1}, Service: "s", Organisation: "o", Body: []byte(fmt.Sprint(n)),
+				Prompt: Prompt{Parts: []PromptPart{{ID: "fatal"}, {ID: fmt.Sprint("own-", n)}}}, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+		}
+		d := describe(request(0))
+		v := suspect.Verdict{Traits: suspect.Traits{"organisation=o", "part=fatal", "service=s"}, Crashes: 3, Epoch: 1}
+		is.True(d.Traits().HasAll(v.Traits))
+		coordinator.ApplyStored(v)
+		sent := 0
+		r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+			sent++
+			return nil, &http1.BrokenError{Address: a.Upstream.Address, Cause: io.ErrUnexpectedEOF}
+		})
+		is.True(r.Run(t.Context(), request(1), &fakeWriter{}) != nil)
+		is.Equal(sent, 0)
+		time.Sleep(time.Minute)
+		is.True(r.Run(t.Context(), request(2), &fakeWriter{}) != nil)
+		is.Equal(sent, 1) // the probe
+		is.True(r.Run(t.Context(), request(3), &fakeWriter{}) != nil)
+		is.Equal(sent, 1)
+	})
+}
+
+// TestCrashingRequestWithoutPromptAccusesOnlyItself checks that a request without a prompt
+// that crashes upstreams is refused, and others of its route are not.
+func TestCrashingRequestWithoutPromptAccusesOnlyItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(9)
+		defer r.Log.Close()
+		coordinator := &CrashCoordinator{Router: r, Instance: "i0"}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go coordinator.Run(ctx)
+		r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+			time.Sleep(50 * time.Millisecond)
+			if a.Request.Target == "/fatal" {
+				return nil, &http1.BrokenError{Address: a.Upstream.Address, Cause: io.ErrUnexpectedEOF}
+			}
+			return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+		})
+		run := func(target string) error {
+			q := &Request{ID: target, Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}, Service: "s", Target: target, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+			return r.Run(t.Context(), q, &fakeWriter{})
+		}
+		is.True(run("/fatal") != nil)
+		time.Sleep(time.Second)
+		begin := time.Now()
+		is.True(run("/fatal") != nil)
+		is.Equal(time.Since(begin), time.Duration(0)) // refused at once
+		is.NoErr(run("/sound"))
+	})
+}
