core/suspect: reports of one crash from instances whose clocks differ are one crash

Cause: reports were joined by the upstream's start and the time of day of the reporting instance. With clocks that differ by more than two seconds one crash counted twice, so that two crashes refused a part, and bystanders' evidence doubled. Found by reading. Change: reports that arrive within two seconds of the first one are joined too. A hypothesis that only lacks answers to other requests is looked at again when one is recorded, and no longer ten times a second. Evidence: the case 'one crash reported by instances whose clocks differ' of TestRefusal fails without the change.

--- a/core/suspect/judge.go
+++ b/core/suspect/judge.go
@@ -27,7 +27,7 @@
 	if t.dirty {
 		found = t.find(now)
 	}
-	return found, enforced, t.dirty || t.hasPending()
+	return found, enforced, t.HasNews()
 }
 
 // find returns the verdicts that the crashes justify, and adopts them.
@@ -35,6 +35,7 @@
 	var found []Verdict
 	for {
 		t.dirty = false
+		t.lacksAnswers = false
 		all := t.hypotheses()
 		h := t.strongest(all)
 		if h == nil {
@@ -263,7 +264,7 @@
 			continue
 		}
 		if !t.othersAnswered(h) {
-			t.dirty = true // answers may still come
+			t.lacksAnswers = true
 			continue
 		}
 		best, bestEvidence = h, e
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -155,6 +155,18 @@
 			s.crash(fatal(4), sound)
 		}, request: traits("o1", "sound-2", "class", "subject")},
 		{name: "all upstreams at one moment", happens: func(s *story) { s.wait(time.Second); s.crashNow(fatal(1)); s.crashNow(fatal(2)); s.crashNow(fatal(3)) }, request: fatal(4)},
+		{name: "one crash reported by instances whose clocks differ", happens: func(s *story) {
+			for i := range 2 {
+				s.crash(fatal(i))
+				s.RecordCrash(s.now, Crash{Upstream: fmt.Sprint("u", s.crashed), UnixMs: s.now.UnixMilli() + 5000, Candidates: []Candidate{{Traits: fatal(i), Weight: 1}}})
+			}
+		}, request: fatal(4)},
+		{name: "upstreams that crash under load with parts that others answer", happens: func(s *story) {
+			for i := range 6 {
+				s.answer("o2", "class", fmt.Sprint("subject-", i))
+				s.crash(traits("o1", fmt.Sprint("r", i), "class", "subject-1"), traits("o2", fmt.Sprint("q", i), "class", "subject-2"))
+			}
+		}, request: traits("o1", "r9", "class", "subject-1")},
 		{name: "answered before the third crash", happens: func(s *story) {
 			s.crash(fatal(1))
 			s.crash(fatal(2))
--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -56,12 +56,6 @@
 	Candidates []Candidate `json:"candidates"`
 }
 
-// isSame reports whether two reports are of the same crash.
-func (c *Crash) isSame(other *Crash) bool {
-	between := time.Duration(c.UnixMs-other.UnixMs) * time.Millisecond
-	return c.Upstream == other.Upstream && between.Abs() < sameCrash
-}
-
 // A Table is what an instance knows of crashes. The zero Table is empty. It is not
 // safe for concurrent use.
 type Table struct {
@@ -75,7 +69,9 @@
 	shared map[string]Traits
 	// explained holds the crashes that a verdict explains, oldest first and without their
 	// candidates. Later reports of these crashes accuse nothing.
-	explained []Crash
+	explained []crash
+	// lacksAnswers is true if a hypothesis only needs answers to other requests.
+	lacksAnswers bool
 }
 
 // A crash joins the reports of all instances.
@@ -84,10 +80,20 @@
 	learnt time.Time
 }
 
+// isSame reports whether a report that has just been received is of this crash. The
+// clocks of the instances may differ.
+func (c *crash) isSame(now time.Time, report *Crash) bool {
+	between := time.Duration(c.UnixMs-report.UnixMs) * time.Millisecond
+	return c.Upstream == report.Upstream && (between.Abs() < sameCrash || now.Sub(c.learnt) < sameCrash)
+}
+
 // HasEvidence reports whether any request is suspected or refused. While none is,
 // fingerprints need not be computed.
 func (t *Table) HasEvidence() bool { return len(t.crashes) > 0 || len(t.verdicts) > 0 }
 
+// HasNews reports whether Judge may find something.
+func (t *Table) HasNews() bool { return t.dirty || t.hasPending() }
+
 // RecordAnswer records that a request was answered completely. The shared traits are
 // those without a fingerprint; full may be nil unless HasEvidence. It returns the
 // verdicts that the answer changes.
@@ -96,6 +102,7 @@
 	if !t.HasEvidence() {
 		return nil
 	}
+	t.dirty = t.dirty || t.lacksAnswers
 	for _, c := range t.crashes {
 		before := len(c.Candidates)
 		c.Candidates = slices.DeleteFunc(c.Candidates, func(o Candidate) bool { return full.HasAll(o.Traits) })
@@ -135,15 +142,16 @@
 // RecordCrash adds a report to a crash. It ignores candidates that a verdict or an
 // earlier report has, and the whole crash if a verdict explains it.
 func (t *Table) RecordCrash(now time.Time, report Crash) {
-	if slices.ContainsFunc(t.explained, func(c Crash) bool { return c.isSame(&report) }) {
+	isSame := func(c *crash) bool { return c.isSame(now, &report) }
+	if slices.ContainsFunc(t.explained, func(c crash) bool { return isSame(&c) }) {
 		return
 	}
 	if slices.ContainsFunc(report.Candidates, func(o Candidate) bool { return t.explains(o.Traits) }) {
-		t.explain(func(c *crash) bool { return c.isSame(&report) })
-		t.rememberExplained(report)
+		t.explain(isSame)
+		t.rememberExplained(&crash{Crash: report, learnt: now})
 		return
 	}
-	at := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.isSame(&report) })
+	at := slices.IndexFunc(t.crashes, isSame)
 	if at < 0 {
 		if len(t.crashes) >= maxCrashes {
 			t.crashes = slices.Delete(t.crashes, 0, 1)
@@ -371,17 +379,17 @@
 		if !f(c) {
 			return false
 		}
-		t.rememberExplained(c.Crash)
+		t.rememberExplained(c)
 		t.dirty = true
 		return true
 	})
 }
 
-func (t *Table) rememberExplained(c Crash) {
+func (t *Table) rememberExplained(c *crash) {
 	if len(t.explained) >= maxExplained {
 		t.explained = slices.Delete(t.explained, 0, 1)
 	}
-	t.explained = append(t.explained, Crash{Upstream: c.Upstream, UnixMs: c.UnixMs})
+	t.explained = append(t.explained, crash{Crash: Crash{Upstream: c.Upstream, UnixMs: c.UnixMs}, learnt: c.learnt})
 }
 
 // evictVerdict makes space for a verdict that names the organisation, or none. The
--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -217,6 +217,9 @@
 	for _, v := range m.table.RecordAnswer(time.Now(), shared, full) {
 		r.publishVerdict(v, "answered here")
 	}
+	if m.table.HasNews() {
+		m.signalEvidence()
+	}
 }
 
 // recordBroken adds an attempt to the report of the crash of its upstream.
