--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -79,3 +79,13 @@
 		})
 	}
 }
+
+// BenchmarkPartOf divides a limit among 390 instances, which is done once for each limited
+// upstream and change of the members.
+func BenchmarkPartOf(b *testing.B) {
+	all := members(390)
+	l := Limit{Rate: 6, Window: 4 * time.Second}
+	for b.Loop() {
+		l.PartOf("u", "i7", all)
+	}
+}
