node/exchange: refusals do not wait for the store while a probe is due

What callers saw: nothing yet. Found by reading; requests that can't be served are to be refused at once. Change: an instance tries to send a probe once in 10 s and waits 0.3 s for the store. The refusal names the prompt parts without the prefix that the log has; docs/OPERATORS.md. Evidence: TestRefusalsDoNotWaitForTheStore failed before (20 of 20 requests waited, 20 calls) and passes (1 of 20).

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -341,7 +341,7 @@
 	return n, err
 }
 
-// Broken returns a BrokenError for a response that has turned out to be incomplete.
+// Broken returns a BrokenError for a response that is incomplete for the given cause.
 func (r *Response) Broken(cause error) error {
 	return &BrokenError{Address: r.conn.address, Reused: r.conn.reused, Cause: cause}
 }
--- a/node/exchange/crash_monitor.go
+++ b/node/exchange/crash_monitor.go
@@ -15,10 +15,11 @@
 
 // A crashMonitor finds requests that crash upstreams. It is safe for concurrent use.
 type crashMonitor struct {
-	mu      sync.Mutex
-	table   suspect.Table                  // guarded by mu
-	running map[*execution]*runningAttempt // guarded by mu
-	reports map[string]*crashReport        // guarded by mu; by start of the upstream
+	mu         sync.Mutex
+	table      suspect.Table                  // guarded by mu
+	running    map[*execution]*runningAttempt // guarded by mu
+	reports    map[string]*crashReport        // guarded by mu; by start of the upstream
+	probeTried time.Time                      // when this instance last tried to send a probe; guarded by mu
 	// evidence signals that the table has changed. Its capacity is 1.
 	evidence chan struct{}
 }
--- a/node/exchange/crashes_test.go
+++ b/node/exchange/crashes_test.go
@@ -59,6 +59,44 @@
 	})
 }
 
+// A silentStore is a VerdictStore that does not answer.
+type silentStore struct{ writes int }
+
+func (s *silentStore) Write(ctx context.Context, _ suspect.Verdict) error {
+	s.writes++
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (*silentStore) Newest(string) uint64 { return 0 }
+
+// TestRefusalsDoNotWaitForTheStore checks that requests are refused at once when a probe is
+// due and the store does not answer, but for one now and then.
+func TestRefusalsDoNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(6)
+		defer r.Log.Close()
+		store := &silentStore{}
+		r.Verdicts = store
+		(&CrashCoordinator{Router: r, Instance: "i0"}).ApplyStored(suspect.Verdict{Traits: suspect.Traits{"part=fatal", "service=s"}, Crashes: 3, Epoch: 1})
+		time.Sleep(time.Minute)
+		slow := 0
+		for n := range 20 {
+			q := &Request{ID: fmt.Sprint(n), Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1}, Service: "s",
+				Prompt: Prompt{Parts: []PromptPart{{ID: "fatal"}, {ID: fmt.Sprint("own-", n)}}}, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+			begin := time.Now()
+			is.True(r.Run(t.Context(), q, &fakeWriter{}) != nil)
+			if time.Since(begin) > 0 {
+				slow++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(slow, 1)
+		is.Equal(store.writes, 1)
+	})
+}
+
 // TestCrashingRequestWithoutPromptAccusesOnlyItself checks that a request without a prompt
 // that crashes upstreams is refused, and others of its route are not.
 func TestCrashingRequestWithoutPromptAccusesOnlyItself(t *testing.T) {
--- a/node/exchange/suspicion.go
+++ b/node/exchange/suspicion.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -66,23 +65,41 @@
 
 // publicTraits returns the traits that a caller knows.
 func publicTraits(t suspect.Traits) string {
-	named := slices.DeleteFunc(slices.Clone(t), func(trait string) bool { return !strings.HasPrefix(trait, suspect.PartPrefix) })
-	if len(named) == 0 {
+	var parts []string
+	for _, trait := range t {
+		if part, ok := strings.CutPrefix(trait, suspect.PartPrefix); ok {
+			parts = append(parts, part)
+		}
+	}
+	if len(parts) == 0 {
 		return "this content"
 	}
-	return "the prompt parts " + named.String()
+	return "the prompt parts " + strings.Join(parts, ", ")
 }
 
+const (
+	// probeWriteTimeout bounds how long a request waits for the store to decide whether it
+	// is a probe.
+	probeWriteTimeout = 300 * time.Millisecond
+	// probeRetryInterval is the time between two tries of this instance to send a probe:
+	// while the store does not answer, requests are refused at once.
+	probeRetryInterval = 10 * time.Second
+)
+
 // takeProbe sends the request despite a verdict if a probe is due and no other instance
 // takes it: the store decides.
 func (e *execution) takeProbe(ctx context.Context) bool {
-	m := &e.router.crashes
-	m.mu.Lock()
-	v, due := m.table.Probe(time.Now(), e.traits())
-	m.mu.Unlock()
-	if !due || e.router.Verdicts == nil || e.router.Verdicts.Write(ctx, v) != nil {
+	v, due := e.router.crashes.dueProbe(e)
+	if !due || e.router.Verdicts == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeWriteTimeout)
+	defer cancel()
+	if err := e.router.Verdicts.Write(ctx, v); err != nil {
+		e.router.Log.Line("suspect-record").Str("key", v.Traits.Key()).Int("version", int64(v.Version())).Err(err).End()
 		return false
 	}
+	m := &e.router.crashes
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.Merge(time.Now(), v)
@@ -91,6 +108,20 @@
 	return true
 }
 
+// dueProbe returns the verdict on a request with a further probe if one is due and this
+// instance has not just tried to send it.
+func (m *crashMonitor) dueProbe(e *execution) (suspect.Verdict, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	v, due := m.table.Probe(now, e.traits())
+	if !due || now.Sub(m.probeTried) < probeRetryInterval {
+		return suspect.Verdict{}, false
+	}
+	m.probeTried = now
+	return v, true
+}
+
 // takeTurn records that the request is sent, if requests like it are sent one after the
 // other.
 func (r *Router) takeTurn(e *execution) {
