node/exchange: a silent store delays no verdict

Cause: the goroutine that evaluates crashes also wrote verdicts to the store, up to 0.8 s for each while the store does not answer. Verdicts of which others were not told to object were enforced that much later, and an instance sent requests with the part meanwhile. Also, attempts that broke up to five seconds after a crash were added to its report, so that a second crash of an upstream that came back under the same start was not counted. Found by reading. Change: verdicts are written by a goroutine of their own; reports are closed after 2 s.

--- a/node/exchange/crash_coordinator.go
+++ b/node/exchange/crash_coordinator.go
@@ -38,7 +38,7 @@
 	Instance string
 
 	members []member.Status      // guarded by Router.mu
-	writes  map[string]time.Time // when to write the verdict with a key; used by Run only
+	writes  map[string]time.Time // when to write the verdict with a key; used by writeLoop only
 	judged  time.Time            // when the crashes were last evaluated; used by Run only
 }
 
@@ -130,18 +130,41 @@
 
 // Run evaluates the crashes until ctx is done.
 func (c *CrashCoordinator) Run(ctx context.Context) {
+	// The store may be slow or silent, which must not delay an evaluation.
+	changed := make(chan struct{}, 1)
+	go c.writeLoop(ctx, changed)
+	var again <-chan time.Time
+	for {
+		select {
+		case <-c.Router.crashes.evidence:
+		case <-again:
+		case <-ctx.Done():
+			return
+		}
+		again = nil
+		if c.judge(time.Now()) {
+			again = time.After(judgeInterval)
+		}
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// writeLoop writes verdicts to the store when they change, until ctx is done.
+func (c *CrashCoordinator) writeLoop(ctx context.Context, changed <-chan struct{}) {
 	c.writes = map[string]time.Time{}
-	m := &c.Router.crashes
 	var again <-chan time.Time
 	for {
 		select {
-		case <-m.evidence:
+		case <-changed:
 		case <-again:
 		case <-ctx.Done():
 			return
 		}
 		again = nil
-		if pending := c.judge(time.Now()); c.writeVerdicts(ctx) || pending {
+		if c.writeVerdicts(ctx) {
 			again = time.After(judgeInterval)
 		}
 	}
--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -19,7 +19,7 @@
 	// which the others break too if it has crashed.
 	crashReportDelay = 30 * time.Millisecond
 	// crashReportRetention is how long attempts that break later are added to a report.
-	crashReportRetention = 5 * time.Second
+	crashReportRetention = 2 * time.Second
 	// startedWriting is the time after the first event of an answer from which its
 	// request is less probably the cause of a crash.
 	startedWriting = time.Second
--- a/node/exchange/crashes_test.go
+++ b/node/exchange/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"banyanyard/core/refusal"
 	"banyanyard/core/routing"
 	"banyanyard/core/suspect"
 	"banyanyard/io/http1"
@@ -97,6 +99,45 @@
 	})
 }
 
+// TestVerdictIsEnforcedWhileTheStoreIsSilent checks that a store which does not answer
+// delays no verdict.
+func TestVerdictIsEnforcedWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(12)
+		defer r.Log.Close()
+		r.Verdicts = &silentStore{}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go (&CrashCoordinator{Router: r, Instance: "i0"}).Run(ctx)
+		r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+			time.Sleep(50 * time.Millisecond)
+			if a.Request.Prompt.Parts[0].ID == "fatal" {
+				return nil, &http1.BrokenError{Address: a.Upstream.Address, Cause: io.ErrUnexpectedEOF}
+			}
+			return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+		})
+		n := 0
+		run := func(part string) error {
+			n++
+			q := &Request{ID: fmt.Sprint(n), Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}, Service: "s", Body: []byte(fmt.Sprint(n)),
+				Prompt: Prompt{Parts: []PromptPart{{ID: part}, {ID: fmt.Sprint("own-", n)}}}, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+			return r.Run(t.Context(), q, &fakeWriter{})
+		}
+		for _, part := range []string{"a", "b", "c"} {
+			is.NoErr(run(part))
+		}
+		is.True(run("fatal") != nil)
+		time.Sleep(3300 * time.Millisecond) // the upstreams are back
+		is.True(run("fatal") != nil)
+		time.Sleep(700 * time.Millisecond) // to evaluate the crashes, and for objections
+		var refused *refusal.Error
+		is.True(errors.As(run("fatal"), &refused))
+		is.Equal(refused.Kind, refusal.CrashesUpstreams)
+		is.NoErr(run("a"))
+	})
+}
+
 // TestCrashingRequestWithoutPromptAccusesOnlyItself checks that a request without a prompt
 // that crashes upstreams is refused, and others of its route are not.
 func TestCrashingRequestWithoutPromptAccusesOnlyItself(t *testing.T) {
