core/gossip, node/mesh: an urgent entry is sent twelve times by each instance

Cause: a push to six instances counted as one send, and each new urgent entry pushed all others again: up to 162 copies of each entry from each of 295 instances. 175 upstreams named limits at nearly the same time, and ended them together. Change: a push counts its copies, an urgent entry is sent 12 times by each instance (two pushes, the second without waiting for other news), and the entry of a limit holds only its rate. Evidence: TestUrgentEntryReachesAllWithFewSends: 300 instances learn five entries with at most 12 sends each.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -42,6 +42,10 @@
 // the number of instances.
 const sendsPerDoubling = 3
 
+// urgentSends is how many times each instance sends an urgent entry, which it learns of
+// at once: all others then miss it with a probability of e^-urgentSends.
+const urgentSends = 12
+
 func (e *Entry) size() int { return len(e.Key) + len(e.Data) + entryOverheadBytes }
 
 // newer reports whether a is newer than b, an entry of the same key. Data breaks
@@ -172,13 +176,17 @@
 // the given number of instances, and counts them as sent. Urgent entries come
 // first, then those sent the fewest times.
 func (s *Store) Outgoing(instances, maxBytes int) []Entry {
+	return s.OutgoingCopies(1, instances, maxBytes)
+}
+
+// OutgoingCopies is Outgoing for a message that is sent to several instances.
+func (s *Store) OutgoingCopies(copies, instances, maxBytes int) []Entry {
 	slices.SortStableFunc(s.active, func(a, b *storedEntry) int {
 		if a.urgent != b.urgent {
 			return cmp.Compare(b.priority(), a.priority())
 		}
 		return cmp.Compare(a.sends, b.sends)
 	})
-	limit := sendsPerDoubling * bits.Len(uint(instances))
 	var out []Entry
 	for _, stored := range s.active {
 		// An entry that is too large is sent alone, so that it does not block others.
@@ -187,13 +195,26 @@
 		}
 		maxBytes -= stored.size()
 		out = append(out, stored.Entry)
-		stored.sends++
-		stored.active = stored.sends < limit
+		stored.sends += copies
+		stored.active = stored.sends < stored.maxSends(instances)
 	}
 	s.active = slices.DeleteFunc(s.active, func(stored *storedEntry) bool { return !stored.active })
 	return out
 }
 
+// HasUrgent reports whether Outgoing still sends an urgent entry.
+func (s *Store) HasUrgent() bool {
+	return slices.ContainsFunc(s.active, func(stored *storedEntry) bool { return stored.Urgent })
+}
+
+// maxSends returns how many times an instance sends the entry.
+func (stored *storedEntry) maxSends(instances int) int {
+	if stored.Urgent {
+		return urgentSends
+	}
+	return sendsPerDoubling * bits.Len(uint(instances))
+}
+
 // Checksum returns a checksum of the keys and versions in the store. Stores with
 // different checksums differ.
 func (s *Store) Checksum() uint64 { return s.checksum }
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -152,3 +152,42 @@
 	s.DeleteVersion("k", 2)
 	is.Equal(s.Len(), 0)
 }
+
+// TestUrgentEntryReachesAllWithFewSends spreads urgent entries among 300 instances, each of
+// which pushes to six others while it has some to send.
+func TestUrgentEntryReachesAllWithFewSends(t *testing.T) {
+	is := is.New(t)
+	const instances, fanout, entries = 300, 6, 5
+	random := rand.New(rand.NewPCG(1, 2))
+	stores := make([]Store, instances)
+	sends := 0
+	var pushing []int
+	learn := func(i int, e Entry) {
+		if stores[i].Put(e) {
+			pushing = append(pushing, i)
+		}
+	}
+	for n := range entries {
+		learn(random.IntN(instances), Entry{Key: fmt.Sprint("k", n), Version: 1, Urgent: true})
+		for len(pushing) > 0 {
+			i := pushing[0]
+			pushing = pushing[1:]
+			if !stores[i].HasUrgent() {
+				continue
+			}
+			pushing = append(pushing, i)
+			out := stores[i].OutgoingCopies(fanout, instances, 10000)
+			for range fanout {
+				to := random.IntN(instances)
+				for _, e := range out {
+					sends++
+					learn(to, e)
+				}
+			}
+		}
+	}
+	for i := range stores {
+		is.Equal(stores[i].Len(), entries)
+	}
+	is.True(sends <= urgentSends*instances*entries)
+}
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -37,10 +37,10 @@
 // A NamedLimit is the number of requests per second that an upstream takes from all
 // instances together, as it says in its answers.
 type NamedLimit struct {
-	Upstream    string  `json:"upstream"`
-	StartUnixMs int64   `json:"start-unix-ms"`
-	Rate        float64 `json:"rate"`    // 0 if it names none any more
-	Version     uint64  `json:"version"` // increases with each change
+	Upstream    string
+	StartUnixMs int64
+	Rate        float64 // 0 if it names none any more
+	Version     uint64  // increases with each change
 }
 
 // wait returns the time until this instance may send to the upstream by its limits, and
--- a/node/exchange/limits.go
+++ b/node/exchange/limits.go
@@ -10,6 +10,8 @@
 	"banyanyard/core/gossip"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -41,12 +43,29 @@
 	r.queueEntry(e)
 }
 
+// limitEntry returns the entry of a limit, whose data is the rate.
 func limitEntry(limit placement.NamedLimit) (gossip.Entry, error) {
-	data, err := json.Marshal(limit)
+	data, err := json.Marshal(limit.Rate)
 	key := limitKeyPrefix + limit.Upstream + "@" + strconv.FormatInt(limit.StartUnixMs, 10)
 	return gossip.Entry{Key: key, Version: limit.Version, Data: data}, err
 }
 
+// decodeLimit decodes the entry of a limit.
+func decodeLimit(e gossip.Entry) (placement.NamedLimit, error) {
+	limit := placement.NamedLimit{Version: e.Version}
+	start := strings.TrimPrefix(e.Key, limitKeyPrefix)
+	at := strings.LastIndexByte(start, '@')
+	if at < 0 {
+		return limit, errors.Errorf("the key %q has no start time", e.Key)
+	}
+	var err error
+	limit.Upstream = start[:at]
+	if limit.StartUnixMs, err = strconv.ParseInt(start[at+1:], 10, 64); err != nil {
+		return limit, err
+	}
+	return limit, json.Unmarshal(e.Data, &limit.Rate)
+}
+
 func (r *Router) logLimit(limit placement.NamedLimit, source string) {
 	r.Log.Line("upstream-limit").Str("upstream", limit.Upstream).Str("limit", strconv.FormatFloat(limit.Rate, 'g', 6, 64)).
 		Int("version", int64(limit.Version)).Str("source", source).End()
@@ -58,8 +77,8 @@
 	if !strings.HasPrefix(e.Key, limitKeyPrefix) {
 		return
 	}
-	var limit placement.NamedLimit
-	if err := json.Unmarshal(e.Data, &limit); err != nil {
+	limit, err := decodeLimit(e)
+	if err != nil {
 		r.Log.Line("news-rejected").Str("key", e.Key).Err(err).End()
 		return
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -212,13 +212,19 @@
 		return true
 	}
 	s.urgent = append(s.urgent, urgentEntry{key: e.Key, version: e.Version, learnt: now})
-	if !s.pushScheduled {
-		s.pushScheduled = true
-		time.AfterFunc(max(pushDelay, pushInterval-now.Sub(s.pushed)), func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
-	}
+	s.schedulePush(now)
 	return true
 }
 
+// schedulePush schedules a push unless one is scheduled.
+func (s *state) schedulePush(now time.Time) {
+	if s.pushScheduled {
+		return
+	}
+	s.pushScheduled = true
+	time.AfterFunc(max(pushDelay, pushInterval-now.Sub(s.pushed)), func() { s.mesh.enqueue(s.ctx, (*state).pushEntries) })
+}
+
 // forgetUrgent retires urgent entries that have been passed on, and removes old ones.
 func (s *state) forgetUrgent(now time.Time) {
 	for s.urgentSent < len(s.urgent) && now.Sub(s.urgent[s.urgentSent].learnt) >= urgentSendTime {
@@ -277,10 +283,14 @@
 	s.pushed = time.Now()
 	others := slices.DeleteFunc(s.detector.Members(), func(m member.Status) bool { return m.State >= member.Suspect })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	entries := s.entries.Outgoing(len(others)+1, maxPushBytes)
-	for _, other := range others[:min(len(others), pushFanout)] {
+	others = others[:min(len(others), pushFanout)]
+	entries := s.entries.OutgoingCopies(len(others), len(s.detector.Members())+1, maxPushBytes)
+	for _, other := range others {
 		go s.mesh.probe(s.ctx, member.Probe{Address: other.Address, ID: other.ID}, s.newExchangeWith(other.ID, slices.Clone(entries)))
 	}
+	if len(others) > 0 && s.entries.HasUrgent() {
+		s.schedulePush(s.pushed)
+	}
 }
 
 // newExchange returns the message for another instance that is sent as a probe or
