core/placement: parts of limits are used before unlimited upstreams

Cause: in a large fleet about L+2 instances hold all of a limit L. A holder chose among all upstreams alike, so that most of what it held was lost: of 78 upstreams that an instance of the large fleet may use, 4 name limits. Change: upstreams that name a limit go first while they have less load than the others. Evidence: TestHeldPartsAreUsed fails before.

--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -298,3 +298,41 @@
 	is.True(ok)
 	is.Equal(ready, 2*time.Second)
 }
+
+// TestHeldPartsAreUsed checks that an instance of a large fleet uses its parts of limits,
+// which few others hold, before it loads upstreams that all use.
+func TestHeldPartsAreUsed(t *testing.T) {
+	is := is.New(t)
+	const instances, upstreams, rate, perSecond = 295, 249, 5.0, 4
+	f := New("i7", "d0")
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprint("i", i))
+	}
+	f.SetInstances(names)
+	running := map[string]int{}
+	allowed := 0.0 // requests per second by the parts of this instance
+	for i := range upstreams {
+		u := testUpstream(i)
+		f.Register(start, u)
+		if i%10 < 7 {
+			f.SetNamedLimit(start, NamedLimit{Upstream: u.ID, Rate: rate, Version: 1})
+			allowed += f.partOf(start.Add(joinTime), f.byID[u.ID], &f.byID[u.ID].named).Rate
+			continue
+		}
+		running[u.ID] = 6
+	}
+	now := start.Add(joinTime)
+	used := 0
+	for n := range 20 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		f.SetLoad(now, running, instances)
+		s, _ := f.Pick(now, Criteria{Service: "s", AffinityKey: fmt.Sprint("key-", n%30), PromptWork: 500})
+		if s.u.named.limit.Rate > 0 {
+			used++
+		}
+		f.Release(now, s, Completed)
+	}
+	is.True(allowed > 1)
+	is.True(float64(used) >= 0.7*20*min(allowed, perSecond))
+}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -101,6 +101,7 @@
 // choose returns one of the upstreams by their load and the affinity key.
 func (f *Fleet) choose(now time.Time, us []*upstream, key string) *upstream {
 	shared := f.usesSharedLoad(now, us)
+	us = preferLimited(us, shared)
 	switch {
 	case key != "" && shared:
 		return f.pickByAffinity(f.preferLocal(us, (*upstream).relativeLoad, localSlackLoad), f.groupKey(key, us))
@@ -113,6 +114,21 @@
 	return f.leastLoaded(us)
 }
 
+// preferLimited returns the upstreams that name a limit if they have less load than the
+// others, or all. Only the instances that hold a part of a limit may use it; if these
+// chose among all upstreams alike, most of it would be lost.
+func preferLimited(us []*upstream, shared bool) []*upstream {
+	load := func(u *upstream) float64 { return float64(u.runningAttempts) }
+	if shared {
+		load = (*upstream).relativeLoad
+	}
+	limited := slices.DeleteFunc(slices.Clone(us), func(u *upstream) bool { return u.named.limit.Rate == 0 })
+	if len(limited) == 0 || len(limited) == len(us) || mean(limited, load) >= mean(us, load) {
+		return us
+	}
+	return limited
+}
+
 // meets reports whether the upstream accepts new attempts and meets the criteria.
 func (f *Fleet) meets(now time.Time, u *upstream, c Criteria) bool {
 	return f.acceptsWork(now, u) && (c.AcceptsVersion == nil || c.AcceptsVersion(u.Version)) && !slices.Contains(c.Exclude, u.ID)
