--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -304,7 +304,7 @@
 func TestHeldPartsAreUsed(t *testing.T) {
 	is := is.New(t)
 	const instances, upstreams, rate, perSecond = 295, 249, 5.0, 4
-	f := New("i7", "d0")
+	f := New("i11", "d0")
 	var names []string
 	for i := range instances {
 		names = append(names, fmt.Sprint("i", i))
