--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -62,9 +62,10 @@
 
 // Pick chooses an upstream that meets the criteria and counts an attempt there.
 // Outliers and upstreams that just refused a request are used only if no other
-// is left. Requests with an affinity key go to the first upstream in the key's
-// order that is not overloaded, others to the least loaded one. The slot is nil
-// unless the result is Picked.
+// is left; those that name a limit go first while they have less load. Requests
+// with an affinity key go to the first upstream in the key's order that is not
+// overloaded, others to the least loaded one. The slot is nil unless the result is
+// Picked.
 func (f *Fleet) Pick(now time.Time, c Criteria) (*Slot, PickResult) {
 	s := f.services[c.Service]
 	if s == nil {
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -11,6 +11,8 @@
 //   - a request whose kind may not be repeated is sent again only after an
 //     upstream reported that it did not run it, or if no byte of it was sent;
 //   - a refusal says "not run" only if that holds for every attempt;
+//   - an attempt is made only if no verdict says that the request crashes upstreams,
+//     or as a probe of one;
 //   - the upstream of an attempt is picked from the current state of the fleet
 //     immediately before the attempt is sent.
 package exchange
