core/trial, node/exchange: log the evidence with a clearance and a change of state

Cause: neither line said on how many answers of which kind it was based, nor how many requests the new version had had, so no log told the hypotheses on EXPOSURE apart. Change: reports carry the attempts of each instance; both lines have the totals and the counts by kind of request and criterion.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -126,6 +126,7 @@
 	Revision uint64                      `json:"revision"`
 	Elapsed  time.Duration               `json:"elapsed"` // since the instance received the order
 	Kinds    map[string]rollout.Evidence `json:"kinds,omitempty"`
+	Exposure Exposure                    `json:"exposure"` // of this instance
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
 	OldRunning int `json:"old-running"`
@@ -165,9 +166,8 @@
 	// foreignSessions are sessions on the old version at other instances, with the
 	// time of their last request.
 	foreignSessions map[SessionHash]time.Time
-	attempts        int // sent to the service since the order
-	newAttempts     int // those of attempts that went to the new version
-	summaryGood     int // good answers of the new version at all instances, from summaries
+	exposure        Exposure // of this instance
+	summaryGood     int      // good answers of the new version at all instances, from summaries
 
 	moveAt           time.Duration // see Summary.MoveAt
 	clearanceChecked time.Time
@@ -279,7 +279,7 @@
 // without exceeding the exposure bound.
 func (t *Trial) withinExposeShare() bool {
 	slack := min(maxExposeSlack, exposeSlackFraction*t.bounds.ExposeSlack/float64(max(t.Instances, 1)))
-	return float64(t.newAttempts) < slack+t.bounds.ExposeShare*float64(t.attempts)
+	return float64(t.exposure.New) < slack+t.bounds.ExposeShare*float64(t.exposure.All)
 }
 
 // keyInShare reports whether the key's hash, scaled to [0, 1), is below the
@@ -295,9 +295,9 @@
 
 // CountAttempt counts an attempt sent to the service, by version.
 func (t *Trial) CountAttempt(toNew bool) {
-	t.attempts++
+	t.exposure.All++
 	if toNew {
-		t.newAttempts++
+		t.exposure.New++
 	}
 }
 
@@ -427,7 +427,7 @@
 // Report returns this instance's evidence. oldRunning is the number of its
 // attempts in flight on the old version.
 func (t *Trial) Report(now time.Time, oldRunning int) Report {
-	r := Report{Revision: t.Order.Revision, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, OldRunning: -1, OldSessions: t.oldCanarySessions(now)}
+	r := Report{Revision: t.Order.Revision, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Exposure: t.exposure, OldRunning: -1, OldSessions: t.oldCanarySessions(now)}
 	for kind, e := range t.ownEvidence {
 		r.Kinds[kind] = e
 	}
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -178,8 +178,10 @@
 			r.logTrial(t, "evidence")
 		}
 		if start, ok := t.TakeClearance(); ok {
+			exposure := t.TotalExposure()
 			r.Log.Line("rollout-cleared").Str("service", service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
-				Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).End()
+				Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).
+				Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 		}
 		oldRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version != t.Order.To })
 		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -72,8 +72,10 @@
 
 func (r *Router) logTrial(t *trial.Trial, source string) {
 	state, reason := t.State()
+	exposure := t.TotalExposure()
 	r.Log.Line("rollout").Str("service", t.Order.Service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
-		Str("state", state.String()).Str("why", reason).Str("source", source).Millis("age-ms", time.Since(t.StartTime())).End()
+		Str("state", state.String()).Str("why", reason).Str("source", source).Millis("age-ms", time.Since(t.StartTime())).
+		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 }
 
 // signalTrialStop logs that the evidence has stopped a trial and signals it on
