core/trial: a trial completes at the end of its time, and only if nothing speaks against it

Cause: the record was written as soon as nothing ran on the old version, after a few answers more than before the move. Change: MayComplete asks for the last second of the order's duration and for evidence that does not speak against the version.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -47,6 +47,9 @@
 	// earliestMoveStart is the fraction of the order's duration after which sessions
 	// may be moved.
 	earliestMoveStart = 0.51
+	// completionMargin is the time before the order's deadline from which on a trial may be
+	// completed. It covers the write of the record.
+	completionMargin = time.Second
 	// drainMargin is the time before the order's deadline from which on streams on the
 	// old version are no longer waited for: they continue on the new version.
 	drainMargin = 800 * time.Millisecond
@@ -490,6 +493,13 @@
 	return r
 }
 
+// MayComplete reports whether the trial may be recorded as completed, which cannot be
+// undone: so little of the order's duration is left that there will be no more evidence
+// in time, and what there is does not speak against the new version.
+func (t *Trial) MayComplete(now time.Time) bool {
+	return t.state == Running && t.Moved(now) && now.Sub(t.startTime) > t.Order.Duration-completionMargin && !t.isSuspicious()
+}
+
 // MayCutOff reports whether attempts that still run on the old version are no longer
 // waited for: so little of the order's duration is left, and the bound on exposure
 // covers them if they continue on the new version. oldRunning is their number at this
--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -313,6 +313,36 @@
 	}
 }
 
+// TestCompletionWaitsForEvidence checks that a version that turns bad once the traffic has
+// moved is not recorded as completed.
+func TestCompletionWaitsForEvidence(t *testing.T) {
+	tests := []struct {
+		name   string
+		failed int // of 50 answers after the move
+		at     time.Duration
+		want   bool
+	}{
+		{name: "good, time is left", at: 21 * time.Second},
+		{name: "good, at the end", at: 23500 * time.Millisecond, want: true},
+		{name: "fails now and then, at the end", failed: 6, at: 23500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			tr.LearnSummary(start, Summary{To: "v2", Good: 1, MoveAt: 20 * time.Second})
+			is.True(tr.Moved(start.Add(20 * time.Second)))
+			for range 200 {
+				tr.RecordOutcome(Observation{Kind: "k", Answered: true})
+			}
+			for i := range 50 {
+				tr.RecordOutcome(Observation{New: true, Kind: "k", Answered: true, Failed: i%8 == 0 && i/8 < tt.failed})
+			}
+			is.Equal(tr.MayComplete(start.Add(tt.at)), tt.want)
+		})
+	}
+}
+
 func TestStoppedStateIsFinal(t *testing.T) {
 	is := is.New(t)
 	tr := New(start, order, bounds)
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -200,7 +200,7 @@
 		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
 		check.state, _ = t.State()
 		check.wantState = check.state
-		if check.state == trial.Running && (t.OldVersionDrained(now, oldRunning, others) || t.AllMoved(now, others) && t.MayCutOff(now, oldRunning)) {
+		if t.MayComplete(now) && (t.OldVersionDrained(now, oldRunning, others) || t.AllMoved(now, others) && t.MayCutOff(now, oldRunning)) {
 			check.wantState = trial.Completed
 		}
 		check.rank, check.collectors = c.rankInstances(service)
