platform, core/era: what the store wrote is ordered by era and version

Cause: the store gives out its version numbers again, and each instance dropped a row whose number was not above the one that it knew; the numbers were compared wherever they are kept: rows, relays, records, expectations of transactions, orders. Change: era.Version puts the era (Store-Era) above the number in one integer, made where answers are decoded, so that all these comparisons hold across eras. A configuration is ordered by the operator's own version, and by era where two have one; what had been confirmed is served on. Rows that the store has lost hold until their writers had time to write them again; instances write theirs at once: records of roll-outs, verdicts, rows of instances.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -111,7 +111,8 @@
 
 // A Table is one version of the configuration. Create it with New.
 type Table struct {
-	Version       int64 // increases with each change
+	Version       int64  // increases with each change
+	Era           uint64 // of the store that held it; of two tables with one Version the later counts
 	Limits        Limits
 	Routes        []Route
 	Services      []Service
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -26,6 +26,7 @@
 	"slices"
 	"time"
 
+	"banyanyard/core/era"
 	"banyanyard/core/rollout"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,7 +94,7 @@
 type Order struct {
 	Service  string
 	To       string
-	Revision uint64 // of the order; changes when the same order is written again
+	Revision era.Version // of the order; changes when the same order is written again
 	Duration time.Duration
 }
 
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"banyanyard/core/era"
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
 	"banyanyard/core/placement"
@@ -35,9 +36,9 @@
 // A RolloutRecord is the stored state of an order.
 type RolloutRecord struct {
 	State    trial.State
-	To       string // version of the service
-	Revision uint64 // of the order
-	Version  uint64 // of the record in the store; 0 if there is none
+	To       string      // version of the service
+	Revision era.Version // of the order
+	Version  era.Version // of the record in the store; 0 if there is none
 }
 
 // A RecordStore stores the states of orders.
@@ -192,7 +193,7 @@
 		}
 		if start, ok := t.TakeClearance(); ok {
 			exposure := t.TotalExposure()
-			r.Log.Line("rollout-cleared").Str("service", service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
+			r.Log.Line("rollout-cleared").Str("service", service).Str("to", t.Order.To).Str("version", t.Order.Revision.String()).
 				Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).
 				Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 		}
@@ -277,7 +278,7 @@
 		c.Router.Log.Line("stop-not-sent").Str("service", o.Service).Err(err).End()
 		return
 	}
-	c.Peers.Publish(ctx, gossip.Entry{Key: stopKeyPrefix + o.Service, Version: o.Revision, Data: data}, true)
+	c.Peers.Publish(ctx, gossip.Entry{Key: stopKeyPrefix + o.Service, Version: uint64(o.Revision), Data: data}, true)
 }
 
 // sendReport sends a report to one collector and merges the summary that it
@@ -320,8 +321,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
 	err := c.Records.Write(callCtx, check.order.Service, record)
-	c.Router.Log.Line("rollout-record").Str("service", check.order.Service).Str("to", check.order.To).Int("version", int64(check.order.Revision)).
-		Str("state", check.wantState.String()).Int("record-version", int64(check.storedRecord.Version)).Int("rank", int64(check.rank)).Err(err).End()
+	c.Router.Log.Line("rollout-record").Str("service", check.order.Service).Str("to", check.order.To).Str("version", check.order.Revision.String()).
+		Str("state", check.wantState.String()).Str("record-version", check.storedRecord.Version.String()).Int("rank", int64(check.rank)).Err(err).End()
 	if err == nil && check.wantState != check.state {
 		c.Router.AdoptTrialState(check.order.Service, check.order.To, check.wantState, "recorded by this instance")
 	}
--- a/node/exchange/crash_coordinator.go
+++ b/node/exchange/crash_coordinator.go
@@ -102,6 +102,9 @@
 	c.adopt(v, "store", (*suspect.Table).MergeStored)
 }
 
+// RewriteStored writes verdicts to the store again that it has lost.
+func (c *CrashCoordinator) RewriteStored() { c.Router.crashes.signalEvidence() }
+
 // RemoveStored removes a verdict whose row an operator has removed.
 func (c *CrashCoordinator) RemoveStored(key string) {
 	m := &c.Router.crashes
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -88,12 +88,13 @@
 // Table returns the routing table in use, or nil if there is none yet.
 func (r *Router) Table() *routing.Table { return r.table.Load() }
 
-// SetTable replaces the routing table unless the current one is as new or newer.
+// SetTable replaces the routing table unless the current one is as new or newer, by
+// version and then by era.
 // It reports whether it did.
 func (r *Router) SetTable(t *routing.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old := r.table.Load(); old != nil && old.Version >= t.Version {
+	if old := r.table.Load(); old != nil && (old.Version > t.Version || old.Version == t.Version && old.Era >= t.Era) {
 		return false
 	}
 	for _, s := range t.Services {
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -30,7 +30,7 @@
 	}
 	r.trials[o.Service] = t
 	delete(r.withdrawnTrials, o.Service)
-	r.Log.Line("rollout").Str("service", o.Service).Str("to", o.To).Int("version", int64(o.Revision)).
+	r.Log.Line("rollout").Str("service", o.Service).Str("to", o.To).Str("version", o.Revision.String()).
 		Millis("duration-ms", o.Duration).Str("state", trial.Running.String()).End()
 }
 
@@ -70,6 +70,19 @@
 	return b
 }
 
+// TrialVersion returns the version that the latest order for a service asks for, or "".
+func (r *Router) TrialVersion(service string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[service]; t != nil {
+		return t.Order.To
+	}
+	if t := r.withdrawnTrials[service]; t != nil {
+		return t.Order.To
+	}
+	return ""
+}
+
 // RemoveTrial ends the trial of a service whose order was withdrawn. If the order is
 // written again, the trial goes on.
 func (r *Router) RemoveTrial(service string) {
@@ -122,7 +135,7 @@
 func (r *Router) logTrial(t *trial.Trial, source string) {
 	state, reason := t.State()
 	exposure := t.TotalExposure()
-	r.Log.Line("rollout").Str("service", t.Order.Service).Str("to", t.Order.To).Int("version", int64(t.Order.Revision)).
+	r.Log.Line("rollout").Str("service", t.Order.Service).Str("to", t.Order.To).Str("version", t.Order.Revision.String()).
 		Str("state", state.String()).Str("why", reason).Str("source", source).Millis("age-ms", time.Since(t.StartTime())).
 		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 }
--- a/node/exchange/trials_test.go
+++ b/node/exchange/trials_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"banyanyard/core/era"
 	"banyanyard/core/gossip"
 	"banyanyard/core/placement"
 	"banyanyard/core/routing"
@@ -29,7 +30,7 @@
 // TestStoppedVersionStaysStopped writes the order for a version again, under another
 // number, once its trial has ended.
 func TestStoppedVersionStaysStopped(t *testing.T) {
-	order := func(to string, revision uint64) trial.Order {
+	order := func(to string, revision era.Version) trial.Order {
 		return trial.Order{Service: "s", To: to, Revision: revision, Duration: time.Minute}
 	}
 	tests := []struct {
@@ -74,7 +75,7 @@
 	o.Revision = 9
 	r.StartTrial(o)
 	is.Equal(r.trials["s"].TotalExposure(), trial.Exposure{All: 1, New: 1})
-	is.Equal(r.trials["s"].Order.Revision, uint64(9))
+	is.Equal(r.trials["s"].Order.Revision, era.Version(9))
 }
 
 type fakePeers struct{ published []gossip.Entry }
