node/exchange: what a resuming upstream answers instead of the stream is not forwarded

Callers saw (reported by other operators): a stream broke off, the next upstream answered with an error, and the caller found its text in the middle of the stream, or a stream that ended as if it were complete. Here: with 404, the text; with 204, the end. Cause: only answers of 500 or above were taken for failures of a resumption; any other was forwarded whole, behind the events that had been sent. Change: once the caller has the head of a stream, only an answer 200 that may be a stream goes on with it; others are retried, or the stream is aborted.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -98,6 +98,8 @@
 	Header http.Header // to be forwarded
 	// NotRun is true if the upstream reported that it did not run the request.
 	NotRun bool
+	// NotStream is true if the body is of another type than streams of events.
+	NotStream bool
 	// Misdirected is true if another upstream now has the address.
 	Misdirected bool
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -279,6 +280,9 @@
 		return attemptResult{outcome: placement.Refused, notRun: true, err: errors.New("the upstream refused the request without running it")}
 	case head.Status >= http.StatusInternalServerError:
 		return e.recordUpstreamFailure(ctx, answer)
+	case e.streamBegun && (head.Status != http.StatusOK || head.NotStream):
+		// The caller's stream must neither continue with another answer nor end with it.
+		return attemptResult{outcome: placement.Completed, err: fmt.Errorf("the upstream answered %d instead of going on with the stream", head.Status)}
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
 		return e.relayStream(ctx, answer, slot)
 	}
