core/trial: an instance that has just started uses the new version if the old one is gone

Cause: for some 0.4 s after its start an instance knows the order but not yet the record; its trial runs, the old version's upstreams are gone, and the new version may get no more than its share. Change: within 3 s of its start an instance that joined a trial takes the lack of old upstreams as a sign that the trial may have ended. Evidence: TestRequestsWithoutOldUpstreams, 'instance just started', failed before; its other case is TestExposureHoldsWithoutOldUpstreams under a new name, as strict.

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -67,9 +67,13 @@
 // instances.
 func (t *Trial) collects() bool { return 2*(len(t.reports)+1) >= t.Instances }
 
-// IsCutOff reports whether this instance neither collects the reports of the others nor
-// hears from those that do, so that it may not have learnt how the trial has ended.
-func (t *Trial) IsCutOff(now time.Time) bool {
+// MayHaveEnded reports whether the trial may have ended without this instance having
+// learnt it: it has just started, or it neither collects the reports of the others nor
+// hears from those that do.
+func (t *Trial) MayHaveEnded(now time.Time) bool {
+	if t.bounds.Joined && now.Sub(t.created) < summaryTimeout {
+		return true
+	}
 	return !t.collects() && now.Sub(t.startTime) > summaryTimeout && now.Sub(t.lastSummary) > summaryTimeout
 }
 
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -156,6 +156,7 @@
 	Baseline  *Baseline // times on the old version, also from before the order; not nil
 
 	bounds        Bounds
+	created       time.Time
 	startTime     time.Time
 	state         State
 	stopReason    string
@@ -193,7 +194,7 @@
 // New returns a trial of an order received at now.
 func New(now time.Time, o Order, b Bounds) *Trial {
 	return &Trial{
-		Order: o, Baseline: &Baseline{}, bounds: b, startTime: now,
+		Order: o, Baseline: &Baseline{}, bounds: b, created: now, startTime: now,
 		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{},
 		latencyMeans: map[string]*mean{}, eventGapMeans: map[string]*mean{}, sessions: map[string]*sessionState{},
 		foreignSessions: map[SessionHash]time.Time{},
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -184,7 +184,7 @@
 	// Use the other version if the chosen one has no upstream, but start nothing on
 	// the old version once all traffic has moved: other instances may record the
 	// end at any moment, and the old version is then shut down.
-	if pickResult == placement.NoUpstream && state == trial.Running && !t.Moved(now) && (choice.toNew || t.WithinExposeShare() || t.IsCutOff(now)) {
+	if pickResult == placement.NoUpstream && state == trial.Running && !t.Moved(now) && (choice.toNew || t.WithinExposeShare() || t.MayHaveEnded(now)) {
 		choice.toNew = !choice.toNew
 		slot, pickResult = r.pickVersion(now, criteria, t, choice.toNew)
 		t.RecordSession(now, q.Session, choice.toNew)
--- a/node/exchange/trials_test.go
+++ b/node/exchange/trials_test.go
@@ -135,26 +135,42 @@
 	}
 }
 
-// TestExposureHoldsWithoutOldUpstreams checks that a trial keeps to its share when no
-// upstream of the old version is left.
-func TestExposureHoldsWithoutOldUpstreams(t *testing.T) {
-	is := is.New(t)
-	r := newTestRouter(0)
-	defer r.Log.Close()
-	r.WithFleet(func(now time.Time, f *placement.Fleet) {
-		f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "a", Version: "v2", Slots: 4})
-	})
-	r.SetUpstreamsKnown()
-	r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: time.Minute})
-	sent := 0
-	r.Transport = transportFunc(func(*Attempt) (Answer, error) {
-		sent++
-		return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
-	})
-	route := &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}
-	for i := range 200 {
-		q := &Request{ID: fmt.Sprint(i), Route: route, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
-		_ = r.Run(context.Background(), q, &fakeWriter{}) // most are refused
+// TestRequestsWithoutOldUpstreams sends requests during a trial when no upstream of the
+// old version is left: because it has been completed, which an instance that has just
+// started does not know yet, or because they have crashed.
+func TestRequestsWithoutOldUpstreams(t *testing.T) {
+	tests := []struct {
+		name    string
+		running time.Duration // before the order arrives
+		most    int           // of 200 requests that may be sent
+		least   int
+	}{
+		{name: "upstreams crashed", running: time.Minute, most: 200*15/100 + 1},
+		{name: "instance just started", least: 200, most: 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRouter(0)
+			defer r.Log.Close()
+			r.WithFleet(func(now time.Time, f *placement.Fleet) {
+				f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "a", Version: "v2", Slots: 4})
+			})
+			r.SetUpstreamsKnown()
+			r.configuredAt = time.Now().Add(-tt.running)
+			r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: time.Minute})
+			sent := 0
+			r.Transport = transportFunc(func(*Attempt) (Answer, error) {
+				sent++
+				return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+			})
+			route := &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}
+			for i := range 200 {
+				q := &Request{ID: fmt.Sprint(i), Route: route, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+				_ = r.Run(context.Background(), q, &fakeWriter{}) // the others are refused
+			}
+			is.True(sent <= tt.most)
+			is.True(sent >= tt.least)
+		})
 	}
-	is.True(sent <= 200*15/100+1)
 }
