core/placement, node/exchange: what upstreams say in their answers is kept

Callers saw: nothing yet; the fields are new. An upstream that says in its answers that it leaves (Server-Leaving) got further requests until its registration said so, and one that refused with a Retry-After got them at once. Cause: platform/upstream.go decoded neither field. A pause is part of what an instance waits for before it sends to an upstream, beside limits and cold rates, so that requests go elsewhere or are refused at once with a time to come back; at most 10 minutes; invalid values are ignored. Evidence: TestLeavingAnswerKeepsAllInstancesAway, TestPauseOfUpstreamIsKeptByEachInstance and TestPausesOfAllUpstreamsRefuseAtOnce failed before.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -27,6 +27,8 @@
 	instanceNames   []string // of all that may be running, including this one
 	services        map[string]*service
 	byID            map[string]*upstream
+	departed        map[Start]time.Time      // starts that leave or have left, with the time of the news
+	paused          map[Start]time.Time      // starts that asked for a pause, with its end
 	disabledDomains map[string]bool          // failure domains whose upstreams get no new attempts
 	domainHealths   map[string]*domainHealth // by failure domain
 	loadSetAt       time.Time                // when SetLoad was last called; zero if never
@@ -50,6 +52,8 @@
 		instanceNames:   []string{instance},
 		services:        map[string]*service{},
 		byID:            map[string]*upstream{},
+		departed:        map[Start]time.Time{},
+		paused:          map[Start]time.Time{},
 		disabledDomains: map[string]bool{},
 		domainHealths:   map[string]*domainHealth{},
 		random:          newRandom(instance),
@@ -91,9 +95,13 @@
 }
 
 // Register adds an upstream or updates its registration. A new start time or
-// service replaces the upstream and its health; otherwise an upstream that was
-// draining stays so.
+// service replaces the upstream and its health. A start that was draining stays so, also
+// if it was withdrawn meanwhile.
 func (f *Fleet) Register(now time.Time, r Upstream) {
+	if r.Draining {
+		f.SetLeaving(now, r.start())
+	}
+	r.Draining = r.Draining || f.hasDeparted(r.start())
 	u := f.byID[r.ID]
 	if u != nil && u.StartUnixMs == r.StartUnixMs && u.Service == r.Service {
 		f.refresh(now, u, r)
@@ -105,7 +113,7 @@
 	if f.firstRegistered.IsZero() {
 		f.firstRegistered = now
 	}
-	u = &upstream{Upstream: r, partitionRank: rendezvousScore("", r.ID)}
+	u = &upstream{Upstream: r, partitionRank: rendezvousScore("", r.ID), pausedUntil: f.paused[r.start()]}
 	f.setColdLeft(now, u, r.ColdLeft)
 	f.byID[r.ID] = u
 	s := f.service(r.Service)
@@ -154,6 +162,7 @@
 
 // RemoveGone removes upstreams that are gone and have no running attempts.
 func (f *Fleet) RemoveGone(now time.Time) {
+	f.expireStarts(now)
 	for _, u := range f.byID {
 		if u.isGone(now) && u.runningAttempts == 0 {
 			f.remove(u)
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -43,10 +43,13 @@
 	Version     uint64  // increases with each change
 }
 
-// wait returns the time until this instance may send to the upstream by its limits, and
-// never if it has no part of one.
+// wait returns the time until this instance may send to the upstream by its limits and by
+// the pause that it asked for, and never if this instance has no part of a limit.
 func (f *Fleet) wait(now time.Time, s *service, u *upstream) time.Duration {
 	longest := time.Duration(0)
+	if !u.pausedUntil.IsZero() {
+		longest = max(0, u.pausedUntil.Sub(now))
+	}
 	for _, l := range f.limiters(now, s, u) {
 		wait, ok := l.bucket.Wait(now, f.partOf(now, u, l))
 		if !ok {
@@ -146,6 +149,21 @@
 	return true
 }
 
+// maxPause bounds the time for which an upstream is left alone because it asked for that.
+const maxPause = 10 * time.Minute
+
+// RecordPause records that the upstream of an attempt wants nothing from this instance for
+// a time, of which at most maxPause is used.
+func (f *Fleet) RecordPause(now time.Time, slot *Slot, pause time.Duration) {
+	until := now.Add(min(pause, maxPause))
+	if !until.After(slot.u.pausedUntil) {
+		return
+	}
+	slot.u.pausedUntil = until
+	// The upstream is another object if its registration goes and comes back.
+	f.paused[slot.u.start()] = until
+}
+
 // NamedLimits returns the limits that upstreams name at present.
 func (f *Fleet) NamedLimits() []NamedLimit {
 	var limits []NamedLimit
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -44,6 +44,7 @@
 	connectFailures int     // attempts in a row that could not reach it
 	downUntil       time.Time
 	refusingUntil   time.Time
+	pausedUntil     time.Time // it wants nothing from this instance until then
 	errorRate       movingRate
 }
 
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -105,6 +105,11 @@
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1
 	// if it reports none.
 	Confidence int
+	// Leaving is true if the upstream says that it leaves.
+	Leaving bool
+	// Pause is how long the upstream, which refused the request, wants nothing from this
+	// instance; 0 if it does not say.
+	Pause time.Duration
 	// Limit is the number of requests a second that the upstream takes from all instances
 	// together, as long as its answers say so; 0 if it names none.
 	Limit float64
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -239,6 +239,7 @@
 	}
 	defer answer.Close()
 	e.router.recordLimit(slot, answer.Head(), start)
+	e.router.recordAdmission(slot, answer.Head())
 	headLatency := time.Since(start)
 	result := e.receive(ctx, answer, slot)
 	result.took = time.Since(start)
