core/trial: a version that has not answered yet keeps to the bound as well

A version that answers no request (it hangs, or its answers are late) got all requests from half of the time on. Cause: while there is no good answer, the share is 1, 'as far as the bound allows', so that little traffic tests a version too; a share of 1 was taken for the move, past the bound. Change: only the decision moves the traffic; an instance admits a request only if that keeps it within its part; where there is less than one request of the slack for each, the first ranks have one. A version that has answered nothing by the end is stopped.

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -37,19 +37,26 @@
 	if float64(elapsed) < earliestClearance*float64(t.Order.Duration) || !t.collects() {
 		return
 	}
-	if at := elapsed + clearanceDelay; t.mayMoveAt(elapsed, at) && t.goodAnswers() > 0 && !t.isSuspicious() {
+	tested := t.goodAnswers() > 0 || t.TotalExposure().All == 0
+	if at := elapsed + clearanceDelay; tested && t.mayMoveAt(elapsed, at) && !t.isSuspicious() {
 		t.moveAt = at
 	}
 }
 
-// GiveUp stops the trial if the evidence speaks against the new version at the end of
-// the order's duration. It reports whether it did.
+// GiveUp stops the trial at the end of the order's duration if the evidence speaks
+// against the new version, or it has answered no request. It reports whether it did.
 func (t *Trial) GiveUp(now time.Time) bool {
 	t.updateClearance(now)
-	if t.state != Running || !t.collects() || now.Sub(t.startTime) < t.Order.Duration-giveUpMargin || !t.isSuspicious() {
+	if t.state != Running || !t.collects() || now.Sub(t.startTime) < t.Order.Duration-giveUpMargin {
 		return false
 	}
-	return t.AdoptState(Stopped, "the evidence speaks against the new version at the end of the order's duration")
+	switch {
+	case t.isSuspicious():
+		return t.AdoptState(Stopped, "the evidence speaks against the new version at the end of the order's duration")
+	case t.goodAnswers() == 0 && t.TotalExposure().New > 0:
+		return t.AdoptState(Stopped, "the new version has answered no request")
+	}
+	return false
 }
 
 // TakeClearance returns when the traffic moves, as a time since the order, the first
--- a/core/trial/drawn_test.go
+++ b/core/trial/drawn_test.go
@@ -42,10 +42,11 @@
 	slow
 	oneKind
 	unseen // counted as bad, but nothing shows it
+	silent // never answers
 )
 
 func (f fault) String() string {
-	return [...]string{"none", "failing", "slow", "one-kind", "unseen"}[f]
+	return [...]string{"none", "failing", "slow", "one-kind", "unseen", "silent"}[f]
 }
 
 func drawRollout(seed uint64, f fault) *drawnRollout {
@@ -127,6 +128,7 @@
 	trials := make([]*Trial, d.instances)
 	for i := range trials {
 		trials[i] = d.newTrial(0, false)
+		trials[i].Rank = i
 	}
 	var result drawnResult
 	due := 0.0
@@ -162,7 +164,9 @@
 	if toNew {
 		result.new++
 	}
-	t.RecordOutcome(d.outcome(at, d.drawKind(), toNew))
+	if o := d.outcome(at, d.drawKind(), toNew); !toNew || d.fault != silent {
+		t.RecordOutcome(o)
+	}
 }
 
 // exchange lets two instances collect the reports of all and tells the others.
@@ -198,7 +202,7 @@
 func TestDrawnBadVersionsStayWithinExposure(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	for _, f := range []fault{failing, slow, oneKind, unseen} {
+	for _, f := range []fault{failing, slow, oneKind, unseen, silent} {
 		for seed := range uint64(drawnRollouts) {
 			d := drawRollout(seed, f)
 			r := d.run()
@@ -245,7 +249,7 @@
 // exceeds the bound, is stopped, and moves in time to be completed.
 func BenchmarkMeasureDrawnRollouts(b *testing.B) {
 	const rollouts = 2000
-	for _, f := range []fault{none, failing, slow, oneKind, unseen} {
+	for _, f := range []fault{none, failing, slow, oneKind, unseen, silent} {
 		b.Run(f.String(), func(b *testing.B) {
 			for b.Loop() {
 				results := make(chan drawnOutcome, rollouts)
@@ -289,3 +293,31 @@
 	}
 	return 0
 }
+
+// BenchmarkMeasureExposure reports, by traffic and share of failures, the mean number of
+// requests that the new version gets, those that are allowed, and the share of roll-outs
+// that are stopped.
+func BenchmarkMeasureExposure(b *testing.B) {
+	const rollouts = 40
+	for _, rate := range []float64{1, 5, 27, 60, 160} {
+		for _, share := range []float64{0.05, 0.1, 0.2, 0.5, 1} {
+			b.Run(fmt.Sprintf("rate=%v/share=%v", rate, share), func(b *testing.B) {
+				for b.Loop() {
+					var exposed, allowed, stopped float64
+					for seed := range uint64(rollouts) {
+						d := drawRollout(seed, failing)
+						d.rate, d.share, d.from, d.restarts, d.surge = rate, share, 0, false, 1
+						d.bounds.ExposeShare, d.instances = 0.15, 7
+						r := d.run()
+						exposed += float64(r.new)
+						allowed += d.bounds.ExposeShare*float64(r.all) + d.bounds.ExposeSlack
+						stopped += count(r.stopped)
+					}
+					b.ReportMetric(exposed/rollouts, "exposed")
+					b.ReportMetric(allowed/rollouts, "allowed")
+					b.ReportMetric(stopped/rollouts, "stopped")
+				}
+			})
+		}
+	}
+}
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -3,8 +3,8 @@
 //
 // Each instance runs its own Trial of an order. A small share of new sessions is sent
 // to the new version. All sessions move to it so late that it stays within the bound
-// on exposure up to the order's deadline even if it is bad and nothing shows it; see
-// Ledger. The evidence of all instances is added up per kind of request and compared
+// on exposure up to the order's deadline even if it is bad and nothing shows it
+// (exposure.go). The evidence of all instances is added up per kind of request and compared
 // with that of the old version, which runs at the same time (package rollout). A stop
 // propagates to all instances and is final.
 //
@@ -153,6 +153,7 @@
 type Trial struct {
 	Order     Order
 	Instances int       // number of instances that share the traffic; 0 counts as 1
+	Rank      int       // of this instance among them, from 0
 	Baseline  *Baseline // times on the old version, also from before the order; not nil
 
 	bounds        Bounds
@@ -219,7 +220,8 @@
 // that has reported to it.
 func (t *Trial) StartTime() time.Time { return t.startTime }
 
-// Share returns the share of sessions that get the new version, from 0 to 1.
+// Share returns the share of sessions that are to get the new version, from 0 to 1. Until
+// the traffic moves, WithinExposeShare limits it further.
 func (t *Trial) Share(now time.Time) float64 {
 	switch t.state {
 	case Stopped:
@@ -236,7 +238,7 @@
 		return 1
 	}
 	if t.goodAnswers() == 0 {
-		return 1 // as far as the bound on exposure allows
+		return 1 // there is so little traffic that the usual share has tested nothing
 	}
 	return testFraction * t.bounds.ExposeShare
 }
@@ -248,7 +250,10 @@
 }
 
 // Moved reports whether all new requests go to the new version.
-func (t *Trial) Moved(now time.Time) bool { return t.state == Completed || t.Share(now) >= 1 }
+func (t *Trial) Moved(now time.Time) bool {
+	t.updateClearance(now)
+	return t.state == Completed || t.state == Running && t.hasMoveStarted(now)
+}
 
 // ChooseNew reports whether a request of the session goes to the new version,
 // and records the choice. A request without a session is placed by its own ID.
@@ -259,7 +264,7 @@
 	var toNew bool
 	switch {
 	case t.state == Stopped:
-	case share >= 1:
+	case t.Moved(now):
 		toNew = true
 	case !unassigned && (s.onNew || now.Sub(t.startTime) < t.earliestMove()):
 		toNew = s.onNew
@@ -285,11 +290,23 @@
 // WithinExposeShare reports whether another request may go to the new version before
 // the traffic moves.
 func (t *Trial) WithinExposeShare() bool {
-	slack := min(maxExposeSlack, exposeSlackFraction*t.bounds.ExposeSlack/float64(max(t.Instances, 1)))
-	if t.bounds.Joined {
-		slack = 0
+	return float64(t.exposure.New+1) <= t.ownSlack()+t.bounds.ExposeShare*float64(t.exposure.All+1)
+}
+
+// ownSlack returns this instance's part of the slack. If there is less than one request
+// for each instance, those of the first ranks have one.
+func (t *Trial) ownSlack() float64 {
+	slack := exposeSlackFraction * t.bounds.ExposeSlack
+	part := slack / float64(max(t.Instances, 1))
+	switch {
+	case t.bounds.Joined:
+		return 0
+	case part >= 1:
+		return min(maxExposeSlack, part)
+	case t.Rank < int(slack):
+		return 1
 	}
-	return float64(t.exposure.New) < slack+t.bounds.ExposeShare*float64(t.exposure.All)
+	return 0
 }
 
 // keyInShare reports whether the key's hash, scaled to [0, 1), is below the
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -188,6 +188,8 @@
 	var checks []trialCheck
 	for service, t := range r.trials {
 		t.Instances = r.fleet.NumInstances()
+		rank, collectors := c.rankInstances(service)
+		t.Rank = rank
 		if t.GiveUp(now) {
 			r.logTrial(t, "evidence")
 		}
@@ -204,7 +206,7 @@
 		if t.MayComplete(now) && (t.OldVersionDrained(now, oldRunning, others) || t.AllMoved(now, others) && t.MayCutOff(now, oldRunning)) {
 			check.wantState = trial.Completed
 		}
-		check.rank, check.collectors = c.rankInstances(service)
+		check.rank, check.collectors = rank, collectors
 		checks = append(checks, check)
 	}
 	return checks
