node/exchange: a version whose order was withdrawn or lost gets no requests

Once the order was gone (an operator removed it, or the store lost it and nobody wrote it again for 10 s), picks used all versions alike, so that a version on trial, or a stopped one, got its part of all requests. Cause: without a trial no version was preferred. Change: the version of a withdrawn order that was not completed is used only if there is no other. Evidence: TestWithdrawnVersionGetsNoRequests (running, stopped) failed before.

--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -167,7 +167,7 @@
 	}
 	t := r.trials[q.Service]
 	if t == nil {
-		return r.fleet.Pick(now, criteria)
+		return r.pickWithoutTrial(now, q.Service, criteria)
 	}
 	t.Instances = r.fleet.NumInstances()
 	state, _ := t.State()
@@ -195,6 +195,24 @@
 	return slot, pickResult
 }
 
+// pickWithoutTrial picks an upstream of a service without an order. If an order was
+// withdrawn, or lost by the store, before it was completed, its version is used only if
+// there is no other.
+func (r *Router) pickWithoutTrial(now time.Time, service string, criteria placement.Criteria) (*placement.Slot, placement.PickResult) {
+	withdrawn := r.withdrawnTrials[service]
+	if withdrawn == nil {
+		return r.fleet.Pick(now, criteria)
+	}
+	if state, _ := withdrawn.State(); state == trial.Completed {
+		return r.fleet.Pick(now, criteria)
+	}
+	slot, result := r.pickVersion(now, criteria, withdrawn, false)
+	if result == placement.NoUpstream {
+		return r.fleet.Pick(now, criteria)
+	}
+	return slot, result
+}
+
 func (r *Router) pickVersion(now time.Time, criteria placement.Criteria, t *trial.Trial, toNew bool) (*placement.Slot, placement.PickResult) {
 	criteria.AcceptsVersion = func(version string) bool { return (version == t.Order.To) == toNew }
 	return r.fleet.Pick(now, criteria)
--- a/node/exchange/trials_test.go
+++ b/node/exchange/trials_test.go
@@ -78,6 +78,42 @@
 	is.Equal(r.trials["s"].Order.Revision, era.Version(9))
 }
 
+// TestWithdrawnVersionGetsNoRequests withdraws an order whose version has not been
+// completed, and one whose version has.
+func TestWithdrawnVersionGetsNoRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		state trial.State
+		old   int // upstreams of the old version
+		used  bool
+	}{
+		{name: "running", state: trial.Running, old: 2},
+		{name: "stopped", state: trial.Stopped, old: 2},
+		{name: "completed", state: trial.Completed, old: 2, used: true},
+		{name: "no other version left", state: trial.Running, used: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRouter(tt.old)
+			defer r.Log.Close()
+			r.WithFleet(func(now time.Time, f *placement.Fleet) {
+				f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "a", Version: "v2", Slots: 4})
+			})
+			r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: time.Minute})
+			r.AdoptTrialState("s", "v2", tt.state, "test")
+			r.RemoveTrial("s")
+			used := false
+			for range 30 {
+				slot, _ := r.pick(&Request{Service: "s"}, placement.Criteria{Service: "s"}, &versionChoice{})
+				is.True(slot != nil)
+				used = used || slot.Upstream.ID == "new"
+			}
+			is.Equal(used, tt.used)
+		})
+	}
+}
+
 type fakePeers struct{ published []gossip.Entry }
 
 func (p *fakePeers) Publish(_ context.Context, e gossip.Entry, _ bool) {
