core/trial: kinds of requests are compared each with its own rate before they are added up

Cause: its failures, 9 of 25, 4 of 38, 2 of 14 and 2 of 4, beside 61 of 244, 4 of 460, 0 of 58 and 28 of 46 on the old one, were compared by kind, each too few, and all together, where the kinds that fail by themselves hide the others: a log ratio of 1.4, bound 2. Change: the log ratios of the fine tests, of each kind against its own rate, are added up.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -210,6 +210,14 @@
 	return largest
 }
 
+// FineLogRatios returns the logarithms of the likelihood ratios of the fine tests, of
+// failures and of slow answers. Those of several kinds of requests may be added up.
+func FineLogRatios(e Evidence) (failures, durations float64) {
+	f := fineTest("failures", e.New.Failures, e.Old.Failures, failureThreshold)
+	d := fineTest("slow answers", e.New.Durations, e.Old.Durations, durationThreshold)
+	return f.logRatio(), d.logRatio()
+}
+
 // newIsWorse reports whether the outcomes of the new version are sufficiently
 // more likely under the tolerated rate plus the effect size than under the
 // tolerated rate.
--- a/core/trial/evidence.go
+++ b/core/trial/evidence.go
@@ -99,16 +99,23 @@
 	return t.speaksAgainst(t.totalEvidence) || t.moveSeen && t.speaksAgainst(t.movedEvidence)
 }
 
+// speaksAgainst compares the versions by each kind of request, by all together, and by the
+// sum over the kinds, each compared with its own rate on the old version: all together, a
+// kind that fails by itself hides failures of the others.
 func (t *Trial) speaksAgainst(evidence func(kind string) rollout.Evidence) bool {
 	var total rollout.Evidence
+	var failures, durations float64
 	for kind := range t.evidenceKinds() {
 		e := evidence(kind)
 		if rollout.MaxLogRatio(e, latencyThreshold, eventGapThreshold) > maxKindLogRatio {
 			return true
 		}
 		total = total.Plus(e)
+		f, d := rollout.FineLogRatios(e)
+		failures += f
+		durations += d
 	}
-	return rollout.MaxLogRatio(total, latencyThreshold, eventGapThreshold) > maxLogRatio
+	return max(failures, durations, rollout.MaxLogRatio(total, latencyThreshold, eventGapThreshold)) > maxLogRatio
 }
 
 // EvidenceText describes the evidence of all instances for logs: by kind of request and
--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -343,6 +343,40 @@
 	}
 }
 
+// TestFailuresBesideFailingKindAreSeen checks that a version which fails more often in each
+// kind of request is not completed where one kind fails by itself.
+func TestFailuresBesideFailingKindAreSeen(t *testing.T) {
+	type outcomes struct {
+		kind                     string
+		newBad, new, oldBad, old int
+	}
+	tests := []struct {
+		name  string
+		kinds []outcomes
+		want  bool // it may be completed
+	}{
+		{name: "more in each kind", kinds: []outcomes{{"reads", 9, 25, 61, 244}, {"holds", 4, 38, 4, 460}, {"looks", 2, 14, 0, 58}, {"tests", 1, 1, 28, 28}}},
+		{name: "as on the old version", kinds: []outcomes{{"reads", 6, 25, 61, 244}, {"holds", 0, 38, 4, 460}, {"looks", 0, 14, 0, 58}, {"tests", 1, 1, 28, 28}}, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			tr.LearnSummary(start, Summary{To: "v2", Good: 1, MoveAt: 20 * time.Second})
+			is.True(tr.Moved(start.Add(20 * time.Second)))
+			for _, k := range tt.kinds {
+				for i := range k.old {
+					tr.RecordOutcome(Observation{Kind: k.kind, Answered: true, Failed: i < k.oldBad})
+				}
+				for i := range k.new {
+					tr.RecordOutcome(Observation{New: true, Kind: k.kind, Answered: true, Failed: i >= k.new-k.newBad})
+				}
+			}
+			is.Equal(tr.MayComplete(start.Add(23500*time.Millisecond)), tt.want)
+		})
+	}
+}
+
 func TestStoppedStateIsFinal(t *testing.T) {
 	is := is.New(t)
 	tr := New(start, order, bounds)
