review/3: a script for the zone that comes back while the instances know its old entries

Rule: FAILBACK, with processes on loopback and the project's stand-ins of the store and of replicas.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the review start. A case that is only a day needs
-# none.
+# Builds what the scripts of the review start besides the programs of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -o target/review/zone-back ./review/3/main.go
