review/4: a named limit is forgotten when the entry of a replica comes back

A replica that names a limit of 2 requests a second is partitioned from the store for 5 s and serves on. The scripts share review/stand.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/zone-back ./review/3/main.go
+go build -o target/review/stand ./review/stand/*.go
--- a/review/3/main.go
+++ b/review/stand/deployment.go
@@ -1,11 +1,7 @@
-// Command zone-back plays one small deployment on loopback: seven entry instances in
-// three zones, one replica of a model service in each zone, clients, and the platform's
-// store. A zone is evacuated and taken back, and its replica is cold then. With the
-// disruption, the store gives no answers for two seconds, and is sound again for over
-// contact-ms before the zone comes back.
-//
-// It exits with 1 if the cold replica gets more requests in a second than the rule
-// FAILBACK allows, with 0 if it does not, and with 2 if the case could not run.
+// Command stand plays the cases of the review that are scripts. Each plays one small
+// deployment on loopback: seven entry instances in three zones with the command of the
+// deploy file, one replica of a model service in each zone, clients, and the platform's
+// store.
 package main
 
 import (
@@ -35,26 +31,15 @@
 	host          = "bedfinder.example"
 	key           = "n2ctnfzs989anu6wsjnb"
 	coldPerSecond = 13.0
-	coldExcess    = 1.5
-	coldSlack     = 5.0
-	coldTime      = 3 * time.Second
-	// The requests a second of the site's streaming classes together, and the events of
-	// a stream and the time between them.
+	contactTime   = 3 * time.Second
+	// requestsPerSecond is that of the site's streaming classes together.
 	requestsPerSecond = 56.7
-	streamEvents      = 49
 	eventInterval     = 45 * time.Millisecond
 	firstEventDelay   = 60 * time.Millisecond
 	requestDeadline   = 20 * time.Second
-
-	// The times of events, from the start of traffic.
-	evacuateAt   = 4 * time.Second
-	registerAt   = 7400 * time.Millisecond
-	silentAt     = 8200 * time.Millisecond
-	silentFor    = 2 * time.Second
-	coldAt       = 15 * time.Second
-	takenBackAt  = 15500 * time.Millisecond
-	trafficTime  = 20 * time.Second
-	startTimeout = 20 * time.Second
+	startTimeout      = 20 * time.Second
+	// joinTime is what the instances have to find each other.
+	joinTime = 3 * time.Second
 )
 
 var zones = []string{"milano-a", "torino-b", "pavia-c"}
@@ -62,8 +47,6 @@
 // instancesPerZone are the entry instances of each zone.
 var instancesPerZone = map[string]int{"milano-a": 3, "torino-b": 2, "pavia-c": 2}
 
-const coldZone = "pavia-c"
-
 // A record collects the lines of the record.
 type record struct {
 	mu    sync.Mutex
@@ -138,12 +121,13 @@
 	})
 }
 
-func startReplica(n int, zone string) (*replica, error) {
+// startReplica starts a replica that is not registered yet.
+func startReplica(n int, zone string, events int, delay time.Duration, limit func() float64) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	u := &standin.Upstream{ID: fmt.Sprintf("i-%d-%s", n, zone), Streaming: true, EventCount: streamEvents, FirstEventDelay: firstEventDelay, EventInterval: eventInterval}
+	u := &standin.Upstream{ID: fmt.Sprintf("i-%d-%s", n, zone), Streaming: true, EventCount: events, FirstEventDelay: delay, EventInterval: eventInterval, Limit: limit}
 	go func() { _ = (&http.Server{Handler: u}).Serve(l) }()
 	return &replica{upstream: u, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli()}, nil
 }
@@ -151,14 +135,19 @@
 // An instance is a process of the deploy file.
 type instance struct {
 	name, zone string
+	ip         string
 	callers    string
 	readiness  string
 	control    string
 	cmd        *exec.Cmd
 }
 
-// freeAddresses returns n free loopback addresses.
-func freeAddresses(n int) ([]string, error) {
+// network is the part of the loopback network that this play uses. Connections to it come
+// from 127.0.0.1, so that their ports are not among those that the instances listen on.
+var network = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
+
+// freeAddresses returns n free addresses of a machine.
+func freeAddresses(ip string, n int) ([]string, error) {
 	var addresses []string
 	var open []net.Listener
 	defer func() {
@@ -167,7 +156,7 @@
 		}
 	}()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -181,7 +170,7 @@
 role = "entry"
 machine-class = "front"
 serves = ["front", "control"]
-ip = "127.0.0.1"
+ip = %q
 zone = %q
 region = "nord-ovest"
 seeds = [%s]
@@ -257,17 +246,18 @@
 	var all []*instance
 	for _, zone := range zones {
 		for n := range instancesPerZone[zone] {
-			addresses, err := freeAddresses(3)
+			ip := fmt.Sprintf("%s.%d", network, 10+len(all))
+			addresses, err := freeAddresses(ip, 3)
 			if err != nil {
 				return all, err
 			}
-			all = append(all, &instance{name: fmt.Sprintf("front-%s-%d", zone, n+1), zone: zone, callers: addresses[0], readiness: addresses[1], control: addresses[2]})
+			all = append(all, &instance{name: fmt.Sprintf("front-%s-%d", zone, n+1), ip: ip, zone: zone, callers: addresses[0], readiness: addresses[1], control: addresses[2]})
 		}
 	}
 	seeds := strconv.Quote(all[0].control) + ", " + strconv.Quote(all[3].control) + ", " + strconv.Quote(all[5].control)
 	for _, i := range all {
 		file := filepath.Join(folder, i.name+".toml")
-		text := fmt.Sprintf(settingsFormat, i.name, i.zone, seeds, i.callers, i.readiness, i.control, storeAddress)
+		text := fmt.Sprintf(settingsFormat, i.name, i.ip, i.zone, seeds, i.callers, i.readiness, i.control, storeAddress)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return all, err
 		}
@@ -317,85 +307,112 @@
 	return nil
 }
 
-// results counts how requests ended.
-type results struct {
-	mu     sync.Mutex
-	counts map[string]int
+// startDeployment starts the store with the first manifest and the entries of the
+// replicas, and the instances. The caller stops the instances, also after an error.
+func startDeployment(folder string, replicas []*replica) (*store, []*instance, error) {
+	s := &store{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return s, nil, err
+	}
+	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	s.Put("op", "config", manifest())
+	for _, one := range replicas {
+		one.register(s, 0, 1)
+	}
+	all, err := startInstances(folder, l.Addr().String())
+	if err == nil {
+		err = waitReady(all)
+	}
+	time.Sleep(joinTime)
+	return s, all, err
 }
 
-func (r *results) add(result string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.counts[result]++
+// An answer is how a request ended.
+type answer struct {
+	instance int
+	result   string
+	limited  time.Time // when the head of an answer with Server-Limit came; zero if none did
+}
+
+// answers holds the answers by the id of the request.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]*answer
+}
+
+func (a *answers) counts() map[string]int {
+	counts := map[string]int{}
+	for _, one := range a.byID {
+		counts[one.result]++
+	}
+	return counts
 }
 
 // send sends one streaming request and reads its answer.
-func send(client *http.Client, to string, n int, r *results) {
+func send(client *http.Client, to string, n int, id string, a *answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/domanda/", strings.NewReader("question "+strconv.Itoa(n)))
 	if err != nil {
-		r.add(err.Error())
+		a.result = err.Error()
 		return
 	}
 	request.Host = host
 	request.Header.Set("Authorization", "Bearer "+key)
-	request.Header.Set("Attempt-Id", fmt.Sprintf("%016x", rand.Uint64()))
+	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	request.Header.Set("Model", "daka510000")
 	request.Header.Set("Token-Counts", "826,294")
 	request.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a%d:119,%08x:79,%08x:628", n%8, 1000+n%151, 100000+n))
 	response, err := client.Do(request)
 	if err != nil {
-		r.add("no answer")
+		a.result = "no answer"
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Server-Limit") != "" {
+		a.limited = time.Now()
+	}
+	a.result = strconv.Itoa(response.StatusCode)
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		r.add("answer cut off")
-		return
+		a.result = "answer cut off"
 	}
-	r.add(strconv.Itoa(response.StatusCode))
 }
 
-// sendAll sends requests for trafficTime, in proportion to the instances, and returns when
-// all have ended.
-func sendAll(all []*instance, r *results) int {
+// sendAll sends requests to the instances in turn for a time, and returns when all have
+// ended.
+func sendAll(all []*instance, length time.Duration) *answers {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	ended := &answers{byID: map[string]*answer{}}
 	var running sync.WaitGroup
 	began := time.Now()
-	n := 0
-	for ; ; n++ {
-		at := time.Duration(float64(n) / requestsPerSecond * float64(time.Second))
-		if at > trafficTime {
+	for n := 0; ; n++ {
+		due := time.Duration(float64(n) / requestsPerSecond * float64(time.Second))
+		if due > length {
 			break
 		}
-		time.Sleep(time.Until(began.Add(at)))
-		to, number := all[n%len(all)].callers, n
-		running.Go(func() { send(client, to, number, r) })
+		time.Sleep(time.Until(began.Add(due)))
+		id, a, number := fmt.Sprintf("%016x", rand.Uint64()), &answer{instance: n % len(all)}, n
+		ended.byID[id] = a
+		running.Go(func() { send(client, all[a.instance].callers, number, id, a) })
 	}
 	running.Wait()
-	return n
+	return ended
 }
 
 // at runs f at a time after the start of traffic.
-func at(began time.Time, after time.Duration, f func()) {
-	time.AfterFunc(time.Until(began.Add(after)), f)
+func (r *record) at(after time.Duration, f func()) {
+	time.AfterFunc(time.Until(r.began.Add(after)), f)
 }
 
-// busiest returns the largest number of requests in one second, and the beginning of that
-// second, among those that arrived from a time to another.
-func busiest(requests []standin.Request, from, to time.Time) (int, time.Time) {
-	var times []time.Time
-	for _, r := range requests {
-		if r.Executed && r.ReceivedAt.After(from) && r.ReceivedAt.Before(to) {
-			times = append(times, r.ReceivedAt)
-		}
-	}
+// busiest returns the largest number of the times in one span, and the beginning of that
+// span.
+func busiest(times []time.Time, span time.Duration) (int, time.Time) {
 	slices.SortFunc(times, time.Time.Compare)
-	most, begins := 0, from
+	most, begins := 0, time.Time{}
 	for i, j := 0, 0; j < len(times); j++ {
-		for times[j].Sub(times[i]) >= time.Second {
+		for times[j].Sub(times[i]) >= span {
 			i++
 		}
 		if j-i+1 > most {
@@ -405,6 +422,25 @@
 	return most, begins
 }
 
+// arrivals returns when the requests arrived that a replica ran from a time to another.
+func (r *replica) arrivals(from, to time.Time) []time.Time {
+	var times []time.Time
+	for _, one := range r.upstream.Requests() {
+		if one.Executed && one.ReceivedAt.After(from) && one.ReceivedAt.Before(to) {
+			times = append(times, one.ReceivedAt)
+		}
+	}
+	return times
+}
+
+// lineArrivals records how many requests a replica got in each half second of a time.
+func (r *record) lineArrivals(one *replica, from, to time.Duration) {
+	const step = 500 * time.Millisecond
+	for at := from; at < to; at += step {
+		r.line("replica %s got %d requests from %.1f s to %.1f s", one.upstream.ID, len(one.arrivals(r.began.Add(at), r.began.Add(at+step))), at.Seconds(), (at + step).Seconds())
+	}
+}
+
 func manifest() map[string]any {
 	return map[string]any{
 		"version": 7,
@@ -419,112 +455,3 @@
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	}
 }
-
-// run plays the case and reports whether the rule was broken.
-func run(r *record, folder string, trouble bool) (broken bool, err error) {
-	s := &store{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return false, err
-	}
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
-	s.Put("op", "config", manifest())
-	var replicas []*replica
-	for n, zone := range append(slices.Clone(zones), zones[0]) {
-		one, err := startReplica(n, zone)
-		if err != nil {
-			return false, err
-		}
-		if n < len(zones) {
-			one.register(s, 0, 1)
-		}
-		replicas = append(replicas, one)
-	}
-	all, err := startInstances(folder, l.Addr().String())
-	defer stopInstances(all)
-	if err != nil {
-		return false, err
-	}
-	if err := waitReady(all); err != nil {
-		return false, err
-	}
-	time.Sleep(3 * time.Second) // the instances have found each other
-	began := time.Now()
-	r.began = began
-	cold := replicas[slices.Index(zones, coldZone)]
-	r.line("traffic starts: %.1f requests a second to %d instances and %d replicas", requestsPerSecond, len(all), len(zones))
-	at(began, evacuateAt, func() {
-		s.Put("op", "evacuate/"+coldZone, map[string]any{})
-		r.line("op/evacuate/%s is written", coldZone)
-	})
-	at(began, registerAt, func() {
-		replicas[len(zones)].register(s, 0, 1)
-		r.line("replica %s registers", replicas[len(zones)].upstream.ID)
-	})
-	if trouble {
-		at(began, silentAt, func() {
-			s.silences.Add(1)
-			s.silent.Store(true)
-			r.line("the store gives no answers")
-		})
-		at(began, silentAt+silentFor, func() {
-			s.silent.Store(false)
-			r.line("the store answers again")
-		})
-	}
-	at(began, coldAt, func() {
-		cold.register(s, coldTime, 2)
-		r.line("replica %s is cold for %v and says so in its entry", cold.upstream.ID, coldTime)
-	})
-	at(began, takenBackAt, func() {
-		s.Remove("op", "evacuate/"+coldZone)
-		r.line("op/evacuate/%s is removed", coldZone)
-	})
-	ended := &results{counts: map[string]int{}}
-	sent := sendAll(all, ended)
-	r.line("%d requests sent; ended: %v; calls to the store that got no answer: %d", sent, ended.counts, s.lostCalls.Load())
-	for _, one := range replicas {
-		r.line("replica %s ran %d requests", one.upstream.ID, len(one.upstream.Requests()))
-	}
-	for second := takenBackAt - time.Second; second < takenBackAt+5*time.Second; second += 500 * time.Millisecond {
-		n, _ := busiest(cold.upstream.Requests(), began.Add(second), began.Add(second+500*time.Millisecond))
-		r.line("replica %s got %d requests from %.1f s to %.1f s", cold.upstream.ID, n, second.Seconds(), second.Seconds()+0.5)
-	}
-	allowed := coldPerSecond*coldExcess + coldSlack
-	most, begins := busiest(cold.upstream.Requests(), began.Add(coldAt), began.Add(coldAt+coldTime))
-	r.line("while cold, replica %s got %d requests in the second from %.3f s on; allowed %.1f", cold.upstream.ID, most, begins.Sub(began).Seconds(), allowed)
-	return float64(most) > allowed, nil
-}
-
-func main() {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: zone-back RECORD")
-		os.Exit(2)
-	}
-	out, err := os.Create(os.Args[1])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	folder, err := os.MkdirTemp("", "zone-back-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	trouble := os.Getenv("TROUBLE") != "0"
-	r := &record{began: time.Now(), out: out}
-	r.line("the store is silent for a time: %v", trouble)
-	broken, err := run(r, folder, trouble)
-	switch {
-	case err != nil:
-		r.line("the case could not run: %v", err)
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	case broken:
-		r.line("FAILBACK is broken; logs of the instances are in a temporary folder")
-		fmt.Println("FAILBACK is broken; the instances' logs are in", folder)
-		os.Exit(1)
-	}
-	r.line("FAILBACK holds")
-	_ = os.RemoveAll(folder)
-}
