review/1: replicas whose answers have no end bring all processes over their memory

Three of five replicas answer with bodies that do not end; every process exceeds 284 MB and is killed three to four times in a minute.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -123,12 +123,23 @@
 
 // startReplica starts a replica that is not registered yet.
 func startReplica(n int, zone string, events int, delay time.Duration, limit func() float64) (*replica, error) {
+	return startFaultyReplica(n, zone, events, delay, limit, nil)
+}
+
+// startFaultyReplica is startReplica with a handler that is asked first whether it answers
+// a request; nil answers none.
+func startFaultyReplica(n int, zone string, events int, delay time.Duration, limit func() float64, answers func(http.ResponseWriter, *http.Request) bool) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	u := &standin.Upstream{ID: fmt.Sprintf("i-%d-%s", n, zone), Streaming: true, EventCount: events, FirstEventDelay: delay, EventInterval: eventInterval, Limit: limit}
-	go func() { _ = (&http.Server{Handler: u}).Serve(l) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if answers == nil || !answers(w, q) {
+			u.ServeHTTP(w, q)
+		}
+	})
+	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
 	return &replica{upstream: u, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli()}, nil
 }
 
@@ -261,23 +272,31 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			return all, err
 		}
-		log, err := os.Create(filepath.Join(folder, i.name+".log"))
-		if err != nil {
-			return all, err
-		}
-		cmd := exec.Command("target/banyanyard", "serve", "--platform")
-		cmd.Env = append(os.Environ(), "BANYANYARD_SETTINGS="+file)
-		cmd.Stdout, cmd.Stderr = log, log
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := cmd.Start(); err != nil {
+		if err := i.start(folder); err != nil {
 			return all, err
 		}
-		_ = log.Close()
-		i.cmd = cmd
 	}
 	return all, nil
 }
 
+// start starts the process of the instance with the command of the deploy file.
+func (i *instance) start(folder string) error {
+	log, err := os.OpenFile(filepath.Join(folder, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	cmd := exec.Command("target/banyanyard", "serve", "--platform")
+	cmd.Env = append(os.Environ(), "BANYANYARD_SETTINGS="+filepath.Join(folder, i.name+".toml"))
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	i.cmd = cmd
+	return nil
+}
+
 func stopInstances(all []*instance) {
 	for _, i := range all {
 		if i.cmd != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]scriptedCase{
 	"zone-back": {rule: "FAILBACK", play: playZoneBack},
 	"limit":     {rule: "LIMIT", play: playLimit},
+	"endless":   {rule: "Fault", play: playEndless},
 }
 
 // main plays a case. It exits with 1 if its rule was broken, with 0 if it held, and with 2
