--- a/review/stand/limit.go
+++ b/review/stand/limit.go
@@ -1,15 +1,15 @@
 package main
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // The case limit: a replica in need names a limit in its answers. With the disruption, it
 // is partitioned from the store for five seconds, so that its entry expires and comes back,
 // while it goes on serving.
 const (
-	needZone    = "pavia-c"
+	// One of five replicas is in need, and partitioned from the store.
+	limitReplicas = 5
+	inNeedReplica = 2
+
 	namedLimit  = 2.0 // requests a second
 	limitWindow = 4 * time.Second
 	limitExcess = 1.5
@@ -39,9 +39,10 @@
 		}
 		return namedLimit
 	}
-	for n, zone := range zones {
+	for n := range limitReplicas {
+		zone := zones[n%len(zones)]
 		delay, limit := firstEventDelay, (func() float64)(nil)
-		if zone == needZone {
+		if n == inNeedReplica {
 			delay, limit = needDelay, needed
 		}
 		one, err := startReplica(n, zone, limitEvents, delay, limit)
@@ -57,8 +58,8 @@
 		return false, err
 	}
 	r.began = time.Now()
-	inNeed := replicas[slices.Index(zones, needZone)]
-	r.line("traffic starts: %.1f requests a second to %d instances and %d replicas", requestsPerSecond, len(all), len(zones))
+	inNeed := replicas[inNeedReplica]
+	r.line("traffic starts: %.1f requests a second to %d instances and %d replicas", requestsPerSecond, len(all), len(replicas))
 	r.at(needAt, func() {
 		r.line("replica %s names Server-Limit %.1f in its answers from now on", inNeed.upstream.ID, namedLimit)
 	})
