--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -90,6 +90,7 @@
 
 	followsStore  atomic.Bool
 	followsAll    atomic.Bool
+	leads         atomic.Bool
 	higherRanked  atomic.Int64
 	relayFailures atomic.Int64
 }
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -78,6 +78,10 @@
 // only the first does.
 func (m *Mesh) FollowsAllTables() bool { return m.followsAll.Load() }
 
+// LeadsDomain reports whether this instance is the first of those that follow the store
+// for its failure domain, or replaces them.
+func (m *Mesh) LeadsDomain() bool { return m.leads.Load() }
+
 // HigherRanked returns the number of live instances of this failure domain that
 // have a higher rank.
 func (m *Mesh) HigherRanked() int { return int(m.higherRanked.Load()) }
@@ -91,6 +95,7 @@
 	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || silence > followDelayBehind(higher))
 	s.mesh.higherRanked.Store(int64(higher))
 	replaces := silence > followDelayBehind(higher) // no instance of a higher rank relays
+	s.mesh.leads.Store(follows && (higher == 0 || replaces))
 	s.mesh.followsAll.Store(follows && (higher == 0 || replaces || s.domainSize() < largeDomain))
 	if follows != followed {
 		s.mesh.followsStore.Store(follows)
