node/mesh, platform: relays say how old their rows may be

Cause: a relay was taken for fresh news because it came. An instance cut from the store went on relaying for 2 to 3 s, and others waited 1.3 s more. Evidence: docs/incidents/2026-12-05-relays-without-news.md: the rows come 0.6 s after the polls of the two have failed, without doubt about removals. Change: relays and comparisons of rows carry the age of the sender's rows, proved by the store's responses. Whose rows are older than 1.2 s asks other domains; the second follower leads from 1.2 s on, the third from 1.4 s on, and so on. The first follower relays each response at once.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -85,8 +85,9 @@
 	Checksum uint64         `json:"sum"`
 	Entries  []gossip.Entry `json:"entries,omitempty"`
 	Wanted   []string       `json:"wanted,omitempty"`
-	// UpToDate is true if the sender follows the store and is up to date with it.
-	UpToDate bool `json:"up-to-date,omitempty"`
+	// Age is how old the sender's rows may be: it knows all changes that the store
+	// acknowledged longer ago. Nil if it does not know.
+	Age *time.Duration `json:"age,omitempty"`
 }
 
 // A RowUpdate relays changes of the platform's store to an instance that does not
@@ -106,6 +107,9 @@
 	// RemovalsUncertainFor is for how long a removed row may come back.
 	RemovalsUncertainFor time.Duration `json:"doubtful-for,omitempty"`
 	Reread               bool          `json:"reread,omitempty"` // the rows are too large to relay; read them from the store
+	// Age is how old the root's rows may be when it sends the update: it knows all changes
+	// that the store acknowledged longer ago, from the store itself. Nil if it does not know.
+	Age *time.Duration `json:"age,omitempty"`
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -105,8 +105,10 @@
 	comparing      bool // a comparison of rows is running
 	seeds          []member.Seed
 	started        time.Time
-	relayReceived  time.Time      // when the last relay was received; see recordRelay
-	pulled         time.Time      // when the last successful pull of rows was sent
+	relayedAsOf    time.Time      // changes up to this time are known from relays; see recordRelay
+	pulledAsOf     time.Time      // changes up to this time are known from pulls of rows
+	pullSent       time.Time      // when rows were last pulled
+	stalePulls     int            // number of pulls in a row that brought no recent rows
 	relaySent      time.Time      // when this instance last sent a relay
 	unsentRows     []gossip.Entry // rows to relay
 	pullSource     int            // index of the instance that pullRows asks
@@ -153,7 +155,7 @@
 	h := fnv.New64a()
 	h.Write([]byte(m.self.ID)) // never fails
 	now := time.Now()
-	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(now.UnixMilli()), h.Sum64()), started: now, relayReceived: now}
+	s := &state{mesh: m, ctx: ctx, detector: member.New(m.self, uint64(now.UnixMilli()), h.Sum64()), started: now, relayedAsOf: now}
 	s.replica.changesRarely = m.store.ChangesRarely
 	s.addSeeds(seeds)
 	ticker := time.NewTicker(tickInterval)
@@ -339,7 +341,7 @@
 	if s.mesh.followsAll.Load() {
 		return !s.mesh.store.UpToDate()
 	}
-	return peerFollows || now.Sub(s.relayReceived) > followDelay
+	return peerFollows || now.Sub(s.relayedAsOf) > followDelay
 }
 
 // publishMemberChanges spreads changes of members by gossip, logs them, and passes
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -112,50 +112,50 @@
 
 // startSync starts a comparison of the rows with those of another instance, which
 // transfers what either side lacks. If all is false, it compares only rows that
-// change rarely. At its end, it calls done, which may be nil, with whether the other
-// instance is up to date with the store.
-func (s *state) startSync(address string, all bool, timeout time.Duration, done func(s *state, upToDate bool)) {
+// change rarely. At its end, it calls done, which may be nil, with the age of the other
+// instance's rows, which is nil if it is not known.
+func (s *state) startSync(address string, all bool, timeout time.Duration, done func(s *state, age *time.Duration)) {
 	s.comparing = true
 	m, ctx := s.mesh, s.ctx
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		upToDate, err := m.compareRows(callCtx, address, all)
+		age, err := m.compareRows(callCtx, address, all)
 		if err != nil && ctx.Err() == nil {
 			m.log.Line("rows-not-compared").Str("address", address).Err(err).End()
 		}
 		m.enqueue(ctx, func(s *state) {
 			s.comparing = false
 			if done != nil {
-				done(s, upToDate && err == nil)
+				done(s, age)
 			}
 		})
 	}()
 }
 
-// compareRows compares the rows with those of another instance. It reports whether
-// that is up to date with the store.
-func (m *Mesh) compareRows(ctx context.Context, address string, all bool) (upToDate bool, err error) {
+// compareRows compares the rows with those of another instance, and returns the age of its
+// rows if that is known.
+func (m *Mesh) compareRows(ctx context.Context, address string, all bool) (age *time.Duration, err error) {
 	digest, err := runInLoop(ctx, m, func(s *state) map[string]uint64 { return s.replica.digest(all) })
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	if len(digest) == 0 {
 		digest[""] = 0 // an empty digest would be omitted and ask for no comparison
 	}
 	theirs, err := m.client.Sync(ctx, address, peer.SyncRequest{Digest: digest, RareOnly: !all})
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	wanted, err := runInLoop(ctx, m, func(s *state) []gossip.Entry {
 		s.applyRows(theirs.Entries, s.mesh.store.RemovalsUncertainFor())
 		return s.rowsByKey(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
-		return theirs.UpToDate, err
+		return theirs.Age, err
 	}
 	_, err = m.client.Sync(ctx, address, peer.SyncRequest{Entries: wanted})
-	return theirs.UpToDate, err
+	return theirs.Age, err
 }
 
 func (s *state) rowsByKey(keys []string) []gossip.Entry {
@@ -206,7 +206,7 @@
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
 		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertainFor())
-		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), UpToDate: s.mesh.followsAll.Load() && s.mesh.store.UpToDate()}
+		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), Age: ageOf(time.Now(), s.asOf())}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
 		}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -27,19 +27,25 @@
 	relayInterval = 500 * time.Millisecond
 	// relayTimeout bounds a relay.
 	relayTimeout = time.Second
-	// pullDelay is how long an instance that is not up to date with the store and
-	// receives no relays waits before it asks instances that follow the store: two
-	// relay intervals and some delay.
-	pullDelay = 1100 * time.Millisecond
+	// pullDelay is the age of its rows from which on an instance asks others for theirs:
+	// the time between the responses of the store to the first follower and some delay.
+	pullDelay = 1200 * time.Millisecond
+	// maxQuickPulls is the number of instances that are asked one directly after the
+	// other: the first followers of this failure domain and of two others.
+	maxQuickPulls = 3
 	// treeSettleTime is how long the members of a failure domain may take to agree on
 	// a change.
 	treeSettleTime = 4 * time.Second
 	// pullTimeout bounds such a call.
 	pullTimeout = 600 * time.Millisecond
-	// followDelay is how long an instance that receives no relays waits before it
-	// follows the store itself: two relay intervals and some delay.
-	followDelay = 1300 * time.Millisecond
-	// followDelayStep is how much longer each lower-ranked instance waits before it
+	// followDelay is the age of the relayed rows from which on the second follower asks the
+	// store in place of the first. An upstream that leaves must be known everywhere 2 s
+	// after the store has acknowledged it.
+	followDelay = 1200 * time.Millisecond
+	// followersFailedDelay is how much longer the next instance waits, so that the second
+	// follower's relays arrive before.
+	followersFailedDelay = 200 * time.Millisecond
+	// followDelayStep is how much longer each further instance waits before it
 	// follows the store in place of the followers: the time of a call to the store
 	// and a relay.
 	followDelayStep = 300 * time.Millisecond
@@ -59,6 +65,11 @@
 	// UpToDate reports whether the instance has recent answers from the store and
 	// no call is failing.
 	UpToDate() bool
+	// AsOf returns the time up to which all changes that the store has acknowledged are
+	// known from its responses to this instance. It is zero if there were none.
+	AsOf() time.Time
+	// Recheck asks the store at once for changes, although polls are outstanding.
+	Recheck()
 	// RemovalsUncertainFor returns for how long a removed row may come back, as after a
 	// recent failure of the store.
 	RemovalsUncertainFor() time.Duration
@@ -90,41 +101,79 @@
 // when a relay is due. It is called on every tick.
 func (s *state) updateFollowing(now time.Time) {
 	higher := s.higherRanked()
-	followed := s.mesh.followsStore.Load()
-	silence := s.relaySilence(now)
-	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || silence > followDelayBehind(higher))
+	followed, led := s.mesh.followsStore.Load(), s.mesh.leads.Load()
+	age := s.relayedAge(now)
+	replaces := age > followDelayBehind(higher) // no instance of a higher rank relays recent rows
+	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || replaces)
+	leads := follows && (higher == 0 || replaces)
 	s.mesh.higherRanked.Store(int64(higher))
-	replaces := silence > followDelayBehind(higher) // no instance of a higher rank relays
-	s.mesh.leads.Store(follows && (higher == 0 || replaces))
-	s.mesh.followsAll.Store(follows && (higher == 0 || replaces || s.domainSize() < largeDomain))
-	if follows != followed {
-		s.mesh.followsStore.Store(follows)
-		s.mesh.log.Line("store-following").Bool("follows", follows).Int("behind", int64(higher)).Millis("heard-ms", silence).
+	s.mesh.leads.Store(leads)
+	s.mesh.followsAll.Store(leads || follows && s.domainSize() < largeDomain)
+	s.mesh.followsStore.Store(follows)
+	if follows != followed || leads != led {
+		s.mesh.log.Line("store-following").Bool("follows", follows).Bool("leads", leads).Int("behind", int64(higher)).Millis("age-ms", age).
 			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
+	if leads && !led {
+		s.mesh.store.Recheck()
+	}
 	if follows && now.Sub(s.relaySent) >= relayInterval {
 		s.relayRows(now)
 	}
-	if !(follows && s.mesh.store.UpToDate()) && now.Sub(s.relayReceived) > pullDelay && now.Sub(s.pulled) >= relayInterval {
-		s.pullRows()
+	if now.Sub(s.asOf()) > pullDelay && now.Sub(s.pullSent) >= s.pullInterval() {
+		s.pullRows(now)
+	}
+	if left := followDelayBehind(higher) - age; left > 0 && left < tickInterval {
+		time.AfterFunc(left, func() { s.mesh.enqueue(s.ctx, func(s *state) { s.updateFollowing(time.Now()) }) })
 	}
 }
 
-// relaySilence returns how long this instance has had no relay. Rows that it pulls
-// count as relays for a while, until the other instances have noticed a change of
-// members and agree on the trees again.
-func (s *state) relaySilence(now time.Time) time.Duration {
-	silence := now.Sub(s.relayReceived)
-	if silence < treeSettleTime {
-		return min(silence, now.Sub(s.pulled))
+// asOf returns the time up to which this instance knows all changes that the store has
+// acknowledged, from its own polls or from other instances.
+//
+// Relays that take long to arrive are taken for newer than they are, by the time that they
+// take: at most relayTimeout, after which they are given up.
+func (s *state) asOf() time.Time {
+	return latest(s.mesh.store.AsOf(), s.relayedAsOf, s.pulledAsOf)
+}
+
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
+
+// ageOf returns the time since asOf for a message, or nil if asOf is zero.
+func ageOf(now, asOf time.Time) *time.Duration {
+	if asOf.IsZero() {
+		return nil
 	}
-	return silence
+	age := max(0, now.Sub(asOf))
+	return &age
+}
+
+// relayedAge returns how old the relayed rows may be. Rows that this instance pulls count as
+// relayed for a while, until the other instances have noticed a change of members and agree
+// on the trees again.
+func (s *state) relayedAge(now time.Time) time.Duration {
+	age := now.Sub(s.relayedAsOf)
+	if age < treeSettleTime {
+		return min(age, now.Sub(s.pulledAsOf))
+	}
+	return age
+}
+
+// pullInterval returns the minimum time between two pulls of rows: short while there are
+// instances that have not been asked yet.
+func (s *state) pullInterval() time.Duration {
+	if s.stalePulls > 0 && s.stalePulls < maxQuickPulls {
+		return tickInterval
+	}
+	return relayInterval
 }
 
 // pullRows compares the rows with those of an instance that probably follows the
-// store, in this failure domain or another: with the same one as long as that is up
-// to date.
-func (s *state) pullRows() {
+// store, in this failure domain or another: with the same one as long as its rows are
+// recent.
+func (s *state) pullRows(now time.Time) {
 	if s.comparing {
 		return
 	}
@@ -132,18 +181,22 @@
 	if len(followers) == 0 {
 		return
 	}
-	sent := time.Now()
-	s.startSync(followers[s.pullSource%len(followers)].Address, true, pullTimeout, func(s *state, upToDate bool) {
-		if upToDate {
-			s.pulled = sent
-		} else {
-			s.pullSource++
+	s.pullSent = now
+	s.startSync(followers[s.pullSource%len(followers)].Address, true, pullTimeout, func(s *state, age *time.Duration) {
+		if age != nil {
+			s.pulledAsOf = latest(s.pulledAsOf, now.Add(-*age))
+		}
+		if age != nil && *age <= pullDelay {
+			s.stalePulls = 0
+			return
 		}
+		s.pullSource++
+		s.stalePulls++
 	})
 }
 
-// likelyFollowers returns the live members with the highest ranks of each failure
-// domain, those of this one first.
+// likelyFollowers returns the live members that have the highest rank of their failure
+// domain, that of this one first, and then those with the second highest.
 func (s *state) likelyFollowers() []member.Status {
 	byDomain := map[string][]member.Status{}
 	for _, m := range s.detector.Members() {
@@ -151,26 +204,32 @@
 			byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
 		}
 	}
+	domains := slices.Sorted(maps.Keys(byDomain))
+	if own := slices.Index(domains, s.mesh.self.FailureDomain); own >= 0 {
+		domains = append([]string{s.mesh.self.FailureDomain}, slices.Delete(domains, own, own+1)...)
+	}
 	var followers []member.Status
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		all := byDomain[domain]
-		slices.SortFunc(all, func(a, b member.Status) int { return cmp.Compare(rank(b.Instance), rank(a.Instance)) })
-		all = all[:min(followersPerDomain, len(all))]
-		if domain == s.mesh.self.FailureDomain {
-			followers = append(slices.Clone(all), followers...)
-		} else {
-			followers = append(followers, all...)
+	for place := range followersPerDomain {
+		for _, domain := range domains {
+			all := byDomain[domain]
+			slices.SortFunc(all, func(a, b member.Status) int { return cmp.Compare(rank(b.Instance), rank(a.Instance)) })
+			if place < len(all) {
+				followers = append(followers, all[place])
+			}
 		}
 	}
 	return followers
 }
 
-// followDelayBehind returns how long an instance without relays waits before it
-// follows the store itself, given the number of instances with a higher rank. They
+// followDelayBehind returns the age of the relayed rows from which on an instance leads
+// its failure domain, given the number of instances with a higher rank. They
 // take over one after another, so that an outage does not send all of them to the
 // store at once.
 func followDelayBehind(higher int) time.Duration {
-	return followDelay + time.Duration(max(0, higher-followersPerDomain))*followDelayStep
+	if higher < followersPerDomain {
+		return followDelay
+	}
+	return followDelay + followersFailedDelay + time.Duration(higher-followersPerDomain)*followDelayStep
 }
 
 // domainSize returns the number of live instances of this failure domain.
@@ -201,9 +260,18 @@
 	return higher
 }
 
+// RelayAge tells the other instances of this failure domain that the store has been
+// checked, if this one leads the domain.
+func (m *Mesh) RelayAge(ctx context.Context) {
+	if !m.leads.Load() {
+		return
+	}
+	m.enqueue(ctx, func(s *state) { s.relayRows(time.Now()) })
+}
+
 // relayRows sends the rows that have changed since the last relay to the other
-// instances of this failure domain. Also without rows, a relay tells them that this
-// instance is up to date; it sends none when it is not.
+// instances of this failure domain. Also without rows, a relay tells them how recent the
+// rows are; it sends none while the store fails.
 func (s *state) relayRows(now time.Time) {
 	if !s.mesh.store.UpToDate() {
 		return
@@ -214,6 +282,7 @@
 		Stream: s.mesh.self.ID, Number: s.relayNumber,
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.store.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
+		Age:  ageOf(now, s.mesh.store.AsOf()),
 		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
 	}
 	s.mesh.events.HandleLoad(message.Load)
@@ -284,7 +353,9 @@
 		forwarded := message
 		forwarded.Hops++
 		s.forwardRows(s.mesh.self.Instance, forwarded)
-		s.recordRelay(now, message.Rank)
+		if message.Age != nil {
+			s.recordRelay(now.Add(-*message.Age), message.Rank)
+		}
 		s.applyRows(entries, message.RemovalsUncertainFor)
 		if message.Reread {
 			s.mesh.store.Reread()
@@ -296,12 +367,13 @@
 	})
 }
 
-// recordRelay records that a relay was received. A follower that is up to date
-// ignores relays from lower-ranked instances, so that of two instances that follow
-// the store in place of others the one with the higher rank continues.
-func (s *state) recordRelay(now time.Time, senderRank uint64) {
+// recordRelay records that the rows of a relay are known, with all changes up to asOf. A
+// follower that is up to date ignores relays from lower-ranked instances, so that of two
+// instances that follow the store in place of others the one with the higher rank
+// continues.
+func (s *state) recordRelay(asOf time.Time, senderRank uint64) {
 	if senderRank > rank(s.mesh.self.Instance) || !s.mesh.followsStore.Load() || !s.mesh.store.UpToDate() {
-		s.relayReceived = now
+		s.relayedAsOf = latest(s.relayedAsOf, asOf)
 	}
 }
 
--- a/node/mesh/replica_test.go
+++ b/node/mesh/replica_test.go
@@ -91,6 +91,8 @@
 func (fakeFollower) RemovalsUncertainFor() time.Duration { return 0 }
 func (fakeFollower) ChangesRarely(string) bool           { return false }
 func (fakeFollower) Reread()                             {}
+func (fakeFollower) AsOf() time.Time                     { return time.Time{} }
+func (fakeFollower) Recheck()                            {}
 
 func TestMayLackRegistrations(t *testing.T) {
 	tests := []struct {
@@ -113,7 +115,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := &state{mesh: &Mesh{store: fakeFollower{upToDate: tt.upToDate}}, relayReceived: start.Add(-tt.sinceRelay)}
+			s := &state{mesh: &Mesh{store: fakeFollower{upToDate: tt.upToDate}}, relayedAsOf: start.Add(-tt.sinceRelay)}
 			s.mesh.followsStore.Store(tt.follows)
 			s.mesh.followsAll.Store(tt.followsAll)
 			is.Equal(s.mayLackRegistrations(start, tt.peerFollows), tt.want)
@@ -144,13 +146,13 @@
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
 	later := start.Add(time.Second)
 	for i, name := range names {
-		s := &state{mesh: &Mesh{self: member.Identity{Instance: name}, store: fakeFollower{upToDate: true}}, relayReceived: start}
+		s := &state{mesh: &Mesh{self: member.Identity{Instance: name}, store: fakeFollower{upToDate: true}}, relayedAsOf: start}
 		s.mesh.followsStore.Store(true)
 		s.recordRelay(later, rank(names[1-i]))
-		is.Equal(s.relayReceived == later, i == 1) // only the lower-ranked one may stop
+		is.Equal(s.relayedAsOf == later, i == 1) // only the lower-ranked one may stop
 		s.mesh.followsStore.Store(false)
 		s.recordRelay(later, 0)
-		is.Equal(s.relayReceived, later) // an instance that does not follow the store accepts relays from any
+		is.Equal(s.relayedAsOf, later) // an instance that does not follow the store accepts relays from any
 	}
 	is.Equal(followDelayBehind(followersPerDomain+1)-followDelayBehind(followersPerDomain), followDelayStep)
 }
