core/placement: a domain taken back counts as cold until its registrations are recent

Second, the order that gives the domain back and the news that its upstreams are cold come from two tables, and the order may be known first. Change: upstreams of a returned domain count as cold until registrations are known up to a later time than the order, by the age that relays carry; for 10 s at most.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -30,6 +30,7 @@
 	departed        map[Start]time.Time      // starts that leave or have left, with the time of the news
 	paused          map[Start]time.Time      // starts that asked for a pause, with its end
 	disabledDomains map[string]bool          // failure domains whose upstreams get no new attempts
+	warmthUnknown   map[string]time.Time     // failure domains that were taken back, with the time; see SetWarmthUnknown
 	domainHealths   map[string]*domainHealth // by failure domain
 	loadSetAt       time.Time                // when SetLoad was last called; zero if never
 	random          *rand.Rand
@@ -55,6 +56,7 @@
 		departed:        map[Start]time.Time{},
 		paused:          map[Start]time.Time{},
 		disabledDomains: map[string]bool{},
+		warmthUnknown:   map[string]time.Time{},
 		domainHealths:   map[string]*domainHealth{},
 		random:          newRandom(instance),
 		memberRound:     1,
@@ -85,6 +87,33 @@
 // attempts.
 func (f *Fleet) SetDomainDisabled(domain string, disabled bool) { f.disabledDomains[domain] = disabled }
 
+// maxWarmthUnknown is the time after which the upstreams of a failure domain count as warm
+// although no recent registrations are known: the start of an upstream takes less.
+const maxWarmthUnknown = 10 * time.Second
+
+// SetWarmthUnknown records that a failure domain has been taken back. Its upstreams may
+// have become cold meanwhile, and count as cold until their registrations are known up to
+// that time.
+func (f *Fleet) SetWarmthUnknown(now time.Time, domain string) { f.warmthUnknown[domain] = now }
+
+// ConfirmRegistrations records that the registrations are known up to a time.
+func (f *Fleet) ConfirmRegistrations(asOf time.Time) {
+	for domain, since := range f.warmthUnknown {
+		if asOf.After(since) {
+			delete(f.warmthUnknown, domain)
+		}
+	}
+}
+
+// isCold reports whether the cold rate of its service applies to the upstream.
+func (f *Fleet) isCold(now time.Time, u *upstream) bool {
+	if now.Before(u.coldUntil) {
+		return true
+	}
+	since, unknown := f.warmthUnknown[u.FailureDomain]
+	return unknown && now.Sub(since) < maxWarmthUnknown
+}
+
 func (f *Fleet) service(name string) *service {
 	s := f.services[name]
 	if s == nil {
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -70,7 +70,7 @@
 // limiters returns the limits that apply to the upstream at a time.
 func (f *Fleet) limiters(now time.Time, s *service, u *upstream) []*limiter {
 	var apply []*limiter
-	if s.coldRate > 0 && u.isCold(now) {
+	if s.coldRate > 0 && f.isCold(now, u) {
 		u.cold.limit = share.Limit{Rate: s.coldRate, Window: coldWindow}
 		apply = append(apply, &u.cold)
 	}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -204,7 +204,7 @@
 	u.totalAttempts++
 	u.startedSince++
 	f.spend(now, f.service(u.Service), u)
-	slot := &Slot{Upstream: u.Upstream, Cold: u.isCold(now), Running: u.runningAttempts, Load: -1, u: u}
+	slot := &Slot{Upstream: u.Upstream, Cold: f.isCold(now, u), Running: u.runningAttempts, Load: -1, u: u}
 	if f.usesSharedLoad(now, []*upstream{u}) {
 		slot.Load = u.load()
 		slot.LoadAge = now.Sub(f.loadSetAt)
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -346,3 +346,28 @@
 	}
 	is.True(most <= 10) // 5 on average
 }
+
+// TestReturnedDomainIsColdUntilConfirmed guards against cold upstreams that crash: a failure
+// domain is taken back before it is known that its upstreams have become cold.
+func TestReturnedDomainIsColdUntilConfirmed(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed time.Duration // from the return; registrations are known up to then
+		at        time.Duration // from the return
+		want      bool          // the upstream counts as cold
+	}{
+		{name: "registrations of before", confirmed: -time.Second, at: time.Second, want: true},
+		{name: "registrations of after", confirmed: 100 * time.Millisecond, at: time.Second},
+		{name: "no news for long", confirmed: -time.Second, at: maxWarmthUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := New("entry-0", "d0")
+			f.Register(start, Upstream{ID: "u", Service: "s", FailureDomain: "d1"})
+			f.SetWarmthUnknown(start, "d1")
+			f.ConfirmRegistrations(start.Add(tt.confirmed))
+			is.Equal(f.isCold(start.Add(tt.at), f.byID["u"]), tt.want)
+		})
+	}
+}
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -52,8 +52,6 @@
 
 func (u *upstream) isDown(now time.Time) bool { return now.Before(u.downUntil) }
 
-func (u *upstream) isCold(now time.Time) bool { return now.Before(u.coldUntil) }
-
 func (u *upstream) isOutlier(s *service) bool {
 	return u.errorRate.samples >= outlierMinSamples && u.errorRate.value > outlierErrorRate && u.errorRate.value > outlierFactor*s.errorRate.value
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -93,6 +93,7 @@
 	leads         atomic.Bool
 	higherRanked  atomic.Int64
 	relayFailures atomic.Int64
+	heardAsOf     atomic.Pointer[time.Time] // changes up to this time are known from other instances; nil for none
 }
 
 // A state is owned by the loop.
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -206,7 +206,7 @@
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
 		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertainFor())
-		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), Age: ageOf(time.Now(), s.asOf())}
+		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), Age: ageOf(time.Now(), s.mesh.AsOf())}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
 		}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -120,7 +120,7 @@
 	if follows && now.Sub(s.relaySent) >= relayInterval {
 		s.relayRows(now)
 	}
-	if now.Sub(s.asOf()) > pullDelay && now.Sub(s.pullSent) >= s.pullInterval() {
+	if now.Sub(s.mesh.AsOf()) > pullDelay && now.Sub(s.pullSent) >= s.pullInterval() {
 		s.pullRows(now)
 	}
 	if left := followDelayBehind(higher) - age; left > 0 && left < tickInterval {
@@ -128,13 +128,24 @@
 	}
 }
 
-// asOf returns the time up to which this instance knows all changes that the store has
+// AsOf returns the time up to which this instance knows all changes that the store has
 // acknowledged, from its own polls or from other instances.
 //
 // Relays that take long to arrive are taken for newer than they are, by the time that they
 // take: at most relayTimeout, after which they are given up.
-func (s *state) asOf() time.Time {
-	return latest(s.mesh.store.AsOf(), s.relayedAsOf, s.pulledAsOf)
+func (m *Mesh) AsOf() time.Time {
+	own := m.store.AsOf()
+	if heard := m.heardAsOf.Load(); heard != nil {
+		return latest(own, *heard)
+	}
+	return own
+}
+
+// hearAsOf records that changes up to a time are known from another instance.
+func (s *state) hearAsOf(known *time.Time, asOf time.Time) {
+	*known = latest(*known, asOf)
+	heard := latest(s.relayedAsOf, s.pulledAsOf)
+	s.mesh.heardAsOf.Store(&heard)
 }
 
 func latest(times ...time.Time) time.Time {
@@ -184,7 +195,7 @@
 	s.pullSent = now
 	s.startSync(followers[s.pullSource%len(followers)].Address, true, pullTimeout, func(s *state, age *time.Duration) {
 		if age != nil {
-			s.pulledAsOf = latest(s.pulledAsOf, now.Add(-*age))
+			s.hearAsOf(&s.pulledAsOf, now.Add(-*age))
 		}
 		if age != nil && *age <= pullDelay {
 			s.stalePulls = 0
@@ -373,7 +384,7 @@
 // continues.
 func (s *state) recordRelay(asOf time.Time, senderRank uint64) {
 	if senderRank > rank(s.mesh.self.Instance) || !s.mesh.followsStore.Load() || !s.mesh.store.UpToDate() {
-		s.relayedAsOf = latest(s.relayedAsOf, asOf)
+		s.hearAsOf(&s.relayedAsOf, asOf)
 	}
 }
 
