node/exchange, platform: a planned stop takes no request that it cannot finish

What callers saw: requests whose body ended late in the grace period were passed on, and cut off without an answer at its end, calls that may run once among them. Cause: no decision looked at the time that the process had left. Change: before each attempt, a request that is not expected to be answered before the end is refused as not run, if that is true. A request without an answer then gets one that says that it may have run.

--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -86,7 +86,7 @@
 	outcome := "answered"
 	var refused *refusal.Error
 	switch {
-	case err == nil && e.failure != nil && !e.streamBegun:
+	case err == nil && e.failure != nil && !e.streamBegun.Load():
 		outcome = "upstream-failure"
 	case err == nil:
 	case errors.Is(err, context.Canceled):
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -35,6 +35,7 @@
 	instance string
 	table    atomic.Pointer[routing.Table]
 	crashes  crashMonitor
+	stopping stopping
 	outgoing chan gossip.Entry // entries to publish to the other instances
 	// upstreamsKnown is true once all registrations have been read.
 	upstreamsKnown atomic.Bool
@@ -49,7 +50,8 @@
 	baselines       map[string]*trial.Baseline // guarded by mu; by service
 	configuredAt    time.Time                  // when the first routing table was set; guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
-	escalators map[string]*cascade.Escalator
+	escalators  map[string]*cascade.Escalator
+	answerTimes map[string]*answerTime // guarded by mu; by route
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
 	sessionLastSeen map[string]time.Time
 	// trialStops signals that the evidence has stopped a trial. Its capacity is 1:
@@ -66,6 +68,7 @@
 	return &Router{
 		instance:        instance,
 		crashes:         newCrashMonitor(),
+		stopping:        newStopping(),
 		outgoing:        make(chan gossip.Entry, maxOutgoing),
 		fleet:           placement.New(instance, domain),
 		retryBudgets:    map[string]*retry.WindowBudget{},
@@ -73,6 +76,7 @@
 		withdrawnTrials: map[string]*trial.Trial{},
 		baselines:       map[string]*trial.Baseline{},
 		escalators:      map[string]*cascade.Escalator{},
+		answerTimes:     map[string]*answerTime{},
 		sessionLastSeen: map[string]time.Time{},
 		trialStops:      make(chan struct{}, 1),
 	}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,7 +64,7 @@
 	attempts      int
 	tried         []string         // IDs of upstreams that have had the request
 	mayHaveRun    bool             // an attempt may have run
-	streamBegun   bool             // the caller has received the head of a stream
+	streamBegun   atomic.Bool      // the caller has received the head of a stream
 	lastEventID   string           // last event that the caller has received
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
@@ -91,6 +92,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline, errDeadline)
 	defer cancel()
+	ctx, unwatch := e.untilStop(ctx)
+	defer unwatch()
 	r.recordRequest(q.Service)
 	err := e.run(ctx)
 	e.recordResult(err)
@@ -102,6 +105,7 @@
 var ErrTruncated = errors.New("the answer was cut off after part of it had been sent")
 
 func (e *execution) run(ctx context.Context) error {
+	began := time.Now()
 	for {
 		slot, err := e.pickUpstream(ctx)
 		if err != nil {
@@ -111,6 +115,7 @@
 		result.upstreamLost = e.router.release(e, slot, result)
 		e.logAttempt(slot, result)
 		if result.done {
+			e.router.recordAnswerTime(e.request.Route.Name, time.Since(began))
 			return nil
 		}
 		if err := e.prepareRetry(ctx, result); err != nil {
@@ -142,6 +147,9 @@
 		if err := e.refuseSuspect(ctx); err != nil {
 			return nil, err
 		}
+		if refused := e.refuseLate(); refused != nil {
+			return nil, refused
+		}
 		slot, pickResult := e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
 		if slot != nil {
 			return slot, nil
@@ -281,7 +289,7 @@
 		return attemptResult{outcome: placement.Refused, notRun: true, err: errors.New("the upstream refused the request without running it")}
 	case head.Status >= http.StatusInternalServerError:
 		return e.recordUpstreamFailure(ctx, answer)
-	case e.streamBegun && (head.Status != http.StatusOK || head.NotStream):
+	case e.streamBegun.Load() && (head.Status != http.StatusOK || head.NotStream):
 		// The caller's stream must neither continue with another answer nor end with it.
 		return attemptResult{outcome: placement.Completed, err: fmt.Errorf("the upstream answered %d instead of going on with the stream", head.Status)}
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
@@ -361,11 +369,11 @@
 }
 
 func (e *execution) writeEvent(head Head, event Event) error {
-	if !e.streamBegun {
+	if !e.streamBegun.Load() {
 		if err := e.answerWriter.BeginStream(head); err != nil {
 			return err
 		}
-		e.streamBegun = true
+		e.streamBegun.Store(true)
 		e.firstEventAt = time.Now()
 	}
 	if err := e.answerWriter.WriteEvent(event.Data); err != nil {
@@ -378,11 +386,11 @@
 }
 
 func (e *execution) endStream(head Head) attemptResult {
-	if !e.streamBegun {
+	if !e.streamBegun.Load() {
 		if err := e.answerWriter.BeginStream(head); err != nil {
 			return attemptResult{outcome: placement.Canceled, err: err}
 		}
-		e.streamBegun = true
+		e.streamBegun.Store(true)
 	}
 	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.EndStream()}
 }
@@ -390,7 +398,7 @@
 // shouldEscalate reports whether a larger model is to answer instead of this one.
 // That is possible only before the caller has received anything.
 func (e *execution) shouldEscalate(h Head) bool {
-	if e.streamBegun || e.modelIndex >= len(e.models)-1 || h.Confidence < 0 || !e.request.Route.Kind.Repeatable() {
+	if e.streamBegun.Load() || e.modelIndex >= len(e.models)-1 || h.Confidence < 0 || !e.request.Route.Kind.Repeatable() {
 		return false
 	}
 	if e.attempts >= e.request.Route.MaxAttempts {
@@ -449,10 +457,10 @@
 // finalError returns the error of a request that was not answered. If an upstream
 // reported a failure, it forwards that to the caller instead.
 func (e *execution) finalError(err error) error {
-	if e.streamBegun {
+	if e.streamBegun.Load() {
 		return errors.Join(ErrTruncated, err)
 	}
-	if errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) && !errors.Is(err, errStopping) {
 		return err
 	}
 	if e.failure != nil {
