io/engine: a completion that is cut short is not delivered as whole

What callers saw: nothing yet. On the own interface, a completion without length or chunks whose connection ended early, or one of more than 32 MiB, was delivered in part with a matching length. Cause: the body was read up to a limit, and up to the end of the connection, without a check of what had ended it. Change: a body beyond the limit is an error; one that ends with the connection must be whole JSON. Measured: TestCutResponseIsNotTakenAsWhole (37 of 62 bytes taken for whole) and TestLargeResponseIsNotCutShort (3 of 3 cases) fail before and pass.

--- a/io/engine/endless_test.go
+++ b/io/engine/endless_test.go
@@ -184,3 +184,76 @@
 	is.True(!second.conn.reused) // the connection with unread bytes was closed
 	second.Close()
 }
+
+// TestCutResponseIsNotTakenAsWhole guards against a short answer that is framed as whole:
+// an engine stops at any byte of its response, in the head too, and closes the connection.
+func TestCutResponseIsNotTakenAsWhole(t *testing.T) {
+	const body = `{"id":"` + IDPrefix + `1","choices":[{"index":0}]}`
+	const chunk = "data: " + body + "\n\n"
+	tests := []struct {
+		name   string
+		text   string
+		stream bool
+	}{
+		{name: "length", text: plainHead + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body},
+		{name: "chunks", text: plainHead + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"},
+		{name: "neither", text: plainHead + "\r\n" + body},
+		{name: "stream", text: streamHead + chunk + chunk + "data: [DONE]\n\n", stream: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			lengths := make(chan int, 1)
+			address := startEngine(t, func(c net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(c, tt.text[:<-lengths]) })
+			var client Client
+			defer client.Close()
+			for n := range len(tt.text) + 1 {
+				lengths <- n
+				err := readResponse(t.Context(), &client, newAttempt("1", address, tt.stream))
+				if tt.stream && tt.text[n:] == "\n" {
+					continue // the marker at the end of a stream has been read
+				}
+				if n == len(tt.text) {
+					is.NoErr(err)
+				} else if err == nil {
+					t.Fatalf("%d of %d bytes are taken as a whole response", n, len(tt.text))
+				}
+			}
+		})
+	}
+}
+
+// readResponse reads a response to its end.
+func readResponse(ctx context.Context, c *Client, a Attempt) error {
+	if a.Stream {
+		_, err := readStream(ctx, c, a)
+		return err
+	}
+	r, err := c.Start(ctx, a)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	_, err = r.ReadAll()
+	return err
+}
+
+// TestLargeResponseIsNotCutShort guards against a body that is cut at the limit and
+// delivered as if it were whole.
+func TestLargeResponseIsNotCutShort(t *testing.T) {
+	body := `{"id":"` + IDPrefix + `1","text":"` + strings.Repeat("a", maxBodyBytes) + `"}`
+	tests := []struct{ name, head, tail string }{
+		{name: "length", head: plainHead + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"},
+		{name: "chunks", head: plainHead + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n", tail: "\r\n0\r\n\r\n"},
+		{name: "neither", head: plainHead + "\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := startEngine(t, func(c net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(c, tt.head+body+tt.tail) })
+			var client Client
+			defer client.Close()
+			is.True(readResponse(t.Context(), &client, newAttempt("1", address, false)) != nil)
+		})
+	}
+}
--- a/io/engine/response.go
+++ b/io/engine/response.go
@@ -81,14 +81,29 @@
 	return body, nil
 }
 
-// readBody reads a body, truncated to maxBodyBytes.
+var (
+	errBodyTooLarge = errors.New("the body has more than 32 MiB")
+	errBodyCut      = errors.New("the connection ended within the body")
+)
+
+// readBody reads a body of up to maxBodyBytes. Where only the end of the connection ends
+// the body, it must be whole JSON, because a broken connection may look the same.
 func readBody(response *http.Response) ([]byte, error) {
 	if n := response.ContentLength; n >= 0 && n <= maxBodyBytes {
 		body := make([]byte, n)
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxBodyBytes:
+		return nil, errBodyTooLarge
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !json.Valid(body):
+		return nil, errBodyCut
+	}
+	return body, nil
 }
 
 // Next returns the data of the next chunk of a stream, without the event's
