core/placement: what is known of an upstream outlasts its registration

Cause: the limit was kept in the object of the registration, which was dropped with it. Change: an upstream is kept as a whole while its registration is gone, and goes on with the same start; news of its limit reaches it meanwhile. The separate list of pauses is gone. TestKnowledgeOutlastsRegistration: its cases of a limit, of one told meanwhile, and of a cold upstream fail before and pass.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -28,7 +28,7 @@
 	services        map[string]*service
 	byID            map[string]*upstream
 	departed        map[Start]time.Time      // starts that leave or have left, with the time of the news
-	paused          map[Start]time.Time      // starts that asked for a pause, with its end
+	absent          map[Start]absence        // starts without a registration, which may come back
 	disabledDomains map[string]bool          // failure domains whose upstreams get no new attempts
 	warmthUnknown   map[string]time.Time     // failure domains that were taken back, with the time; see SetWarmthUnknown
 	domainHealths   map[string]*domainHealth // by failure domain
@@ -54,7 +54,7 @@
 		services:        map[string]*service{},
 		byID:            map[string]*upstream{},
 		departed:        map[Start]time.Time{},
-		paused:          map[Start]time.Time{},
+		absent:          map[Start]absence{},
 		disabledDomains: map[string]bool{},
 		warmthUnknown:   map[string]time.Time{},
 		domainHealths:   map[string]*domainHealth{},
@@ -124,8 +124,8 @@
 }
 
 // Register adds an upstream or updates its registration. A new start time or
-// service replaces the upstream and its health. A start that was draining stays so, also
-// if it was withdrawn meanwhile.
+// service replaces the upstream and its health. What a start has said, such as that it
+// drains or a limit, holds on if its registration was gone meanwhile.
 func (f *Fleet) Register(now time.Time, r Upstream) {
 	if r.Draining {
 		f.SetLeaving(now, r.start())
@@ -142,7 +142,7 @@
 	if f.firstRegistered.IsZero() {
 		f.firstRegistered = now
 	}
-	u = &upstream{Upstream: r, partitionRank: rendezvousScore("", r.ID), pausedUntil: f.paused[r.start()]}
+	u = f.returning(r)
 	f.setColdLeft(now, u, r.ColdLeft)
 	f.byID[r.ID] = u
 	s := f.service(r.Service)
@@ -195,6 +195,7 @@
 	for _, u := range f.byID {
 		if u.isGone(now) && u.runningAttempts == 0 {
 			f.remove(u)
+			f.retain(now, u)
 		}
 	}
 }
--- a/core/placement/leaving.go
+++ b/core/placement/leaving.go
@@ -62,22 +62,26 @@
 	return ok
 }
 
-// expireStarts forgets starts that left long ago, and pauses that have ended.
+// expireStarts forgets starts that left long ago.
 func (f *Fleet) expireStarts(now time.Time) {
-	for start, until := range f.paused {
-		if !now.Before(until) {
-			delete(f.paused, start)
-		}
-	}
 	for start, at := range f.departed {
-		retention := departedRetention
-		if start.StartUnixMs == 0 {
-			retention = unknownStartRetention
-		}
-		if now.Sub(at) > retention {
+		if now.Sub(at) > start.retention() {
 			delete(f.departed, start)
 		}
 	}
+	for start, a := range f.absent {
+		if now.Sub(a.since) > start.retention() {
+			delete(f.absent, start)
+		}
+	}
+}
+
+// retention returns how long a start is remembered that is not registered.
+func (s Start) retention() time.Duration {
+	if s.StartUnixMs == 0 {
+		return unknownStartRetention
+	}
+	return departedRetention
 }
 
 func (f *Fleet) forgetOldestDeparted() {
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -135,11 +135,18 @@
 	return u.namedLimit(), true
 }
 
-// SetNamedLimit sets the limit of an upstream that another instance has learnt. It
-// reports whether it is newer than the known one.
+// SetNamedLimit sets the limit of an upstream that another instance has learnt, also while
+// the upstream is not registered. It reports whether it is newer than the known one.
 func (f *Fleet) SetNamedLimit(now time.Time, l NamedLimit) bool {
+	if l.Rate < 0 || math.IsNaN(l.Rate) {
+		return false
+	}
+	start := Start{Upstream: l.Upstream, StartUnixMs: l.StartUnixMs}
 	u := f.byID[l.Upstream]
-	if u == nil || u.StartUnixMs != l.StartUnixMs || l.Version <= u.namedVersion || l.Rate < 0 || math.IsNaN(l.Rate) {
+	if u == nil || u.start() != start {
+		u = f.absentUpstream(now, start)
+	}
+	if l.Version <= u.namedVersion {
 		return false
 	}
 	u.named.limit = share.Limit{Rate: l.Rate, Window: namedWindow}
@@ -160,11 +167,10 @@
 		return
 	}
 	slot.u.pausedUntil = until
-	// The upstream is another object if its registration goes and comes back.
-	f.paused[slot.u.start()] = until
 }
 
-// NamedLimits returns the limits that upstreams name at present.
+// NamedLimits returns the limits that upstreams name at present, those that are not
+// registered last.
 func (f *Fleet) NamedLimits() []NamedLimit {
 	var limits []NamedLimit
 	for _, u := range f.byID {
@@ -172,6 +178,11 @@
 			limits = append(limits, u.namedLimit())
 		}
 	}
+	for _, a := range f.absent {
+		if a.upstream.named.limit.Rate > 0 {
+			limits = append(limits, a.upstream.namedLimit())
+		}
+	}
 	return limits
 }
 
