--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -129,8 +129,9 @@
 	// last event of a complete stream. It waits for at most the gap.
 	NextEvent(gap time.Duration) (Event, error)
 	// ReadBody returns the whole body of an answer that isn't a stream. A body of
-	// more than limit bytes is an error.
-	ReadBody(limit int) ([]byte, error)
+	// more than limit bytes is an error, and one that does not end within the time; 0
+	// means no bound.
+	ReadBody(limit int, within time.Duration) ([]byte, error)
 	// Close ends the attempt, and aborts an answer that is not read to its end.
 	Close()
 }
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -89,7 +89,7 @@
 	return Event{ID: a.after, Data: []byte(a.after)}, nil
 }
 
-func (a *fakeAnswer) ReadBody(int) ([]byte, error) {
+func (a *fakeAnswer) ReadBody(int, time.Duration) ([]byte, error) {
 	if a.breaksAt > 0 {
 		return nil, errFakeBroken
 	}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -22,6 +22,11 @@
 	// maxBodyBytes is the maximum size of an answer that is buffered whole before
 	// it is forwarded.
 	maxBodyBytes = 8 << 20
+	// maxFailureBytes and failureBodyTime bound the body of an upstream's failure. One
+	// that is larger or slower is not delivered; bytes of an upstream in trouble may have
+	// no end.
+	maxFailureBytes = 64 << 10
+	failureBodyTime = time.Second
 	// pickRetryInterval is the time between two tries to pick an upstream while all
 	// are busy.
 	pickRetryInterval = 20 * time.Millisecond
@@ -295,7 +300,7 @@
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
 		return e.relayStream(ctx, answer, slot)
 	}
-	body, err := answer.ReadBody(maxBodyBytes)
+	body, err := answer.ReadBody(maxBodyBytes, 0)
 	if err != nil {
 		return e.classifyReadError(ctx, err)
 	}
@@ -306,7 +311,7 @@
 // recordUpstreamFailure stores an upstream's failure, which is forwarded to the
 // caller if no other attempt is answered.
 func (e *execution) recordUpstreamFailure(ctx context.Context, answer Answer) attemptResult {
-	body, err := answer.ReadBody(maxBodyBytes)
+	body, err := answer.ReadBody(maxFailureBytes, failureBodyTime)
 	if err != nil {
 		return e.classifyReadError(ctx, err)
 	}
