core/outage: a removal is doubted after an outage, not after an own cut

Cause: any failed call counted as an outage of the store, by the time at which it failed: also one of this instance's own cut, and one that had begun before the store was known to respond again. Change: a removal is doubtful after a time in which nobody that the instance hears knew rows less than 1.8 s old.

--- a/core/buffer/buffer_test.go
+++ b/core/buffer/buffer_test.go
@@ -48,7 +48,9 @@
 			is := is.New(t)
 			p := &Pool{Limit: limit}
 			for range tt.endless {
-				for holds := int64(0); p.Grow(holds, step); holds += step {
+				holds := int64(0)
+				for p.Grow(holds, step) {
+					holds += step
 				}
 			}
 			is.True(p.Grow(0, small))
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -14,12 +14,14 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"banyanyard/core/gossip"
 	"banyanyard/core/load"
 	"banyanyard/core/member"
+	"banyanyard/core/outage"
 	"banyanyard/core/relay"
 	"banyanyard/io/jsonlog"
 	"banyanyard/io/peer"
@@ -69,7 +71,7 @@
 	// of the observations of all. It is called concurrently.
 	HandleReport(e gossip.Entry) gossip.Entry
 	// HandleRow takes a row from another instance. Its data is empty if the row was
-	// removed; it may be written again within the given time.
+	// removed; as far as that instance knows, it may be written again within the given time.
 	HandleRow(e gossip.Entry, mayReturnWithin time.Duration)
 	// RunningAttempts returns the attempts of this instance in progress, by upstream.
 	RunningAttempts() map[string]int
@@ -92,8 +94,12 @@
 	followsAll    atomic.Bool
 	leads         atomic.Bool
 	higherRanked  atomic.Int64
+	created       time.Time
 	relayFailures atomic.Int64
 	heardAsOf     atomic.Pointer[time.Time] // changes up to this time are known from other instances; nil for none
+
+	outageMu sync.Mutex
+	outage   outage.Tracker // guarded by outageMu
 }
 
 // A state is owned by the loop.
@@ -132,7 +138,7 @@
 
 // New returns the Mesh of the instance self. A nil dial means tcp.DialContext.
 func New(self member.Identity, events EventHandler, store StoreFollower, log *jsonlog.Logger, dial tcp.DialFunc) *Mesh {
-	m := &Mesh{self: self, events: events, store: store, log: log, calls: make(chan func(*state), callBacklog)}
+	m := &Mesh{self: self, events: events, store: store, log: log, calls: make(chan func(*state), callBacklog), created: time.Now()}
 	m.client = peer.NewClient(dial, nil, &m.traffic)
 	return m
 }
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -70,7 +70,8 @@
 	return append(entries, s.mesh.events.Introduction()...)
 }
 
-// applyRows stores rows from another instance and passes the newer ones on.
+// applyRows stores rows from another instance and passes the newer ones on. A removed one
+// may come back within the given time, as far as that instance knows.
 func (s *state) applyRows(entries []gossip.Entry, mayReturnWithin time.Duration) {
 	for _, e := range entries {
 		if s.replica.put(time.Now(), e) {
@@ -148,7 +149,7 @@
 		return nil, err
 	}
 	wanted, err := runInLoop(ctx, m, func(s *state) []gossip.Entry {
-		s.applyRows(theirs.Entries, s.mesh.store.RemovalsUncertainFor())
+		s.applyRows(theirs.Entries, 0)
 		return s.rowsByKey(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
@@ -205,7 +206,7 @@
 // Sync implements peer.GossipHandler. It compares rows.
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
-		s.applyRows(q.Entries, s.mesh.store.RemovalsUncertainFor())
+		s.applyRows(q.Entries, 0)
 		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), Age: ageOf(time.Now(), s.mesh.AsOf())}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -9,6 +9,7 @@
 
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
+	"banyanyard/core/outage"
 	"banyanyard/core/relay"
 	"banyanyard/io/peer"
 
@@ -70,9 +71,6 @@
 	AsOf() time.Time
 	// Recheck asks the store at once for changes, although polls are outstanding.
 	Recheck()
-	// RemovalsUncertainFor returns for how long a removed row may come back, as after a
-	// recent failure of the store.
-	RemovalsUncertainFor() time.Duration
 	// ChangesRarely reports whether the row with the key changes rarely, as
 	// operators' rows do.
 	ChangesRarely(key string) bool
@@ -97,12 +95,28 @@
 // have a higher rank.
 func (m *Mesh) HigherRanked() int { return int(m.higherRanked.Load()) }
 
-// updateFollowing decides whether this instance follows the store, and relays rows
-// when a relay is due. It is called on every tick.
+// updateFollowing decides whether this instance follows the store, and relays or pulls
+// rows when that is due. It is called on every tick.
 func (s *state) updateFollowing(now time.Time) {
+	s.mesh.ObserveStore()
 	higher := s.higherRanked()
-	followed, led := s.mesh.followsStore.Load(), s.mesh.leads.Load()
 	age := s.relayedAge(now)
+	s.setRole(now, higher, age)
+	if s.mesh.followsStore.Load() && now.Sub(s.relaySent) >= relayInterval {
+		s.relayRows(now)
+	}
+	if now.Sub(s.mesh.AsOf()) > pullDelay && now.Sub(s.pullSent) >= s.pullInterval() {
+		s.pullRows(now)
+	}
+	if left := followDelayBehind(higher) - age; left > 0 && left < tickInterval {
+		time.AfterFunc(left, func() { s.mesh.enqueue(s.ctx, func(s *state) { s.updateFollowing(time.Now()) }) })
+	}
+}
+
+// setRole decides whether this instance follows the store, and leads those that do, by the
+// number of instances with a higher rank and the age of the relayed rows.
+func (s *state) setRole(now time.Time, higher int, age time.Duration) {
+	followed, led := s.mesh.followsStore.Load(), s.mesh.leads.Load()
 	replaces := age > followDelayBehind(higher) // no instance of a higher rank relays recent rows
 	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || replaces)
 	leads := follows && (higher == 0 || replaces)
@@ -117,15 +131,6 @@
 	if leads && !led {
 		s.mesh.store.Recheck()
 	}
-	if follows && now.Sub(s.relaySent) >= relayInterval {
-		s.relayRows(now)
-	}
-	if now.Sub(s.mesh.AsOf()) > pullDelay && now.Sub(s.pullSent) >= s.pullInterval() {
-		s.pullRows(now)
-	}
-	if left := followDelayBehind(higher) - age; left > 0 && left < tickInterval {
-		time.AfterFunc(left, func() { s.mesh.enqueue(s.ctx, func(s *state) { s.updateFollowing(time.Now()) }) })
-	}
 }
 
 // AsOf returns the time up to which this instance knows all changes that the store has
@@ -141,8 +146,38 @@
 	return own
 }
 
+// ObserveStore records how old the rows are that this instance knows. It is called before
+// they become more recent.
+func (m *Mesh) ObserveStore() {
+	m.outageMu.Lock()
+	defer m.outageMu.Unlock()
+	m.outage.Observe(time.Now(), m.AsOf())
+}
+
+// RecordLoss records that the store has lost rows, as when it comes back from a copy.
+func (m *Mesh) RecordLoss() {
+	m.outageMu.Lock()
+	defer m.outageMu.Unlock()
+	m.outage.RecordLoss(time.Now())
+}
+
+// RemovalsUncertainFor returns for how long a registration that is gone may come back,
+// because neither this instance nor one that it hears has had responses of the store.
+func (m *Mesh) RemovalsUncertainFor() time.Duration {
+	m.outageMu.Lock()
+	defer m.outageMu.Unlock()
+	now := time.Now()
+	m.outage.Observe(now, m.AsOf())
+	return m.outage.UncertainFor(now)
+}
+
+// NoticesOutages reports whether this instance has run for long enough to have noticed an
+// outage in which registrations that may still come back have lapsed.
+func (m *Mesh) NoticesOutages() bool { return time.Since(m.created) > outage.MinLapse+outage.Grace }
+
 // hearAsOf records that changes up to a time are known from another instance.
 func (s *state) hearAsOf(known *time.Time, asOf time.Time) {
+	s.mesh.ObserveStore()
 	*known = latest(*known, asOf)
 	heard := latest(s.relayedAsOf, s.pulledAsOf)
 	s.mesh.heardAsOf.Store(&heard)
@@ -291,7 +326,7 @@
 	s.relayNumber++
 	message := peer.RowUpdate{
 		Stream: s.mesh.self.ID, Number: s.relayNumber,
-		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.store.RemovalsUncertainFor(),
+		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
 		Age:  ageOf(now, s.mesh.store.AsOf()),
 		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
