core/placement: sound upstreams are found among failing ones, and outliers are tried again

Cause: an upstream was an outlier if it failed twice as often as its service, which none does where most fail. Change: where a service mostly fails, its upstreams are compared with the best of them. An outlier gets a request again after 5 s, whose outcome counts half of the record.

--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -86,7 +86,8 @@
 	if len(available) == 0 {
 		return nil, UpstreamsBusy
 	}
-	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(s) })
+	limit := s.outlierLimit()
+	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(now, limit) })
 	available = prefer(available, func(u *upstream) bool { return !now.Before(u.refusingUntil) })
 	if c.Isolate {
 		return f.reserve(now, f.emptiest(now, available)), Picked
@@ -202,6 +203,7 @@
 	f.domainHealth(u.FailureDomain).noteAttempt(now, u.ID)
 	u.runningAttempts++
 	u.totalAttempts++
+	u.lastAttempt = now
 	u.startedSince++
 	f.spend(now, f.service(u.Service), u)
 	slot := &Slot{Upstream: u.Upstream, Cold: f.isCold(now, u), Running: u.runningAttempts, Load: -1, u: u}
@@ -278,6 +280,11 @@
 		return
 	}
 	failed := o == Failed || o == Broken
-	u.errorRate.record(failed)
+	weight := errorRateWeight
+	if !u.lastOutcome.IsZero() && now.Sub(u.lastOutcome) >= outlierRetestInterval {
+		weight = retestWeight
+	}
+	u.lastOutcome = now
+	u.errorRate.recordWeighted(failed, weight)
 	s.errorRate.record(failed)
 }
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -21,6 +21,14 @@
 	outlierFactor    = 2.0
 	// outlierMinSamples is the number of outcomes needed to detect an outlier.
 	outlierMinSamples = 3
+	// mostlyFailingRate is the error rate of a service above which its upstreams are
+	// compared with the best of them: the service as a whole says nothing then.
+	mostlyFailingRate = 0.4
+	// outlierRetestInterval is the time after which an outlier gets a request again, to
+	// find out whether it has recovered.
+	outlierRetestInterval = 5 * time.Second
+	// retestWeight is the weight of an outcome after such a time: the record is old.
+	retestWeight = 0.5
 )
 
 // An upstream is a registration with this instance's attempts there and their
@@ -41,7 +49,9 @@
 	runningAttempts int     // attempts of this instance in progress
 	sharedRunning   float64 // estimated attempts of all instances in progress; see Fleet.SetLoad
 	startedSince    int     // attempts of this instance that started after that estimate
-	connectFailures int     // attempts in a row that could not reach it
+	lastAttempt     time.Time
+	lastOutcome     time.Time
+	connectFailures int // attempts in a row that could not reach it
 	downUntil       time.Time
 	refusingUntil   time.Time
 	pausedUntil     time.Time // it wants nothing from this instance until then
@@ -52,8 +62,21 @@
 
 func (u *upstream) isDown(now time.Time) bool { return now.Before(u.downUntil) }
 
-func (u *upstream) isOutlier(s *service) bool {
-	return u.errorRate.samples >= outlierMinSamples && u.errorRate.value > outlierErrorRate && u.errorRate.value > outlierFactor*s.errorRate.value
+// isOutlier reports whether the upstream fails more than its service allows for; see
+// service.outlierLimit.
+func (u *upstream) isOutlier(now time.Time, limit float64) bool {
+	return u.errorRate.samples >= outlierMinSamples && u.errorRate.value > limit && now.Sub(u.lastAttempt) < outlierRetestInterval
+}
+
+// outlierLimit returns the error rate above which an upstream of the service is an outlier.
+func (s *service) outlierLimit() float64 {
+	typical := s.errorRate.value
+	if typical > mostlyFailingRate {
+		for _, u := range s.upstreams {
+			typical = min(typical, u.errorRate.value) // 0 for one that has had no request
+		}
+	}
+	return max(outlierErrorRate, outlierFactor*typical)
 }
 
 // noteUnreachable records that no connection could be opened, that a request was
@@ -70,13 +93,15 @@
 	samples int // outcomes so far
 }
 
-func (r *movingRate) record(failed bool) {
+func (r *movingRate) record(failed bool) { r.recordWeighted(failed, errorRateWeight) }
+
+func (r *movingRate) recordWeighted(failed bool, weight float64) {
 	x := 0.0
 	if failed {
 		x = 1
 	}
 	r.samples++
-	r.value += max(errorRateWeight, 1/float64(r.samples)) * (x - r.value)
+	r.value += max(weight, 1/float64(r.samples)) * (x - r.value)
 }
 
 // rendezvousScore orders candidates for a key by rendezvous hashing: all
