--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -117,7 +117,7 @@
 // number of instances with a higher rank and the age of the relayed rows.
 func (s *state) setRole(now time.Time, higher int, age time.Duration) {
 	followed, led := s.mesh.followsStore.Load(), s.mesh.leads.Load()
-	replaces := age > followDelayBehind(higher) // no instance of a higher rank relays recent rows
+	replaces := age >= followDelayBehind(higher) // no instance of a higher rank relays recent rows
 	follows := now.Sub(s.started) >= joinDelay && (higher < followersPerDomain || replaces)
 	leads := follows && (higher == 0 || replaces)
 	s.mesh.higherRanked.Store(int64(higher))
