node/mesh: instances with old rows ask different ones, and compare checksums first

Change: instances differ in which domain they ask after their own; they ask 1.4 s rather than 1.2 s after the last news, when the second follower's relays have had time to come; and they send no versions where the checksums of both sides are the same.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -82,9 +82,11 @@
 // A SyncResult answers a SyncRequest: Entries are newer than its digest, Wanted are
 // the keys of which the digest has newer versions.
 type SyncResult struct {
-	Checksum uint64         `json:"sum"`
-	Entries  []gossip.Entry `json:"entries,omitempty"`
-	Wanted   []string       `json:"wanted,omitempty"`
+	Checksum uint64 `json:"sum"` // of the rows that change rarely, as Exchange.RareChecksum
+	// FrequentChecksum is as in Exchange.
+	FrequentChecksum uint64         `json:"rows,omitempty"`
+	Entries          []gossip.Entry `json:"entries,omitempty"`
+	Wanted           []string       `json:"wanted,omitempty"`
 	// Age is how old the sender's rows may be: it knows all changes that the store
 	// acknowledged longer ago. Nil if it does not know.
 	Age *time.Duration `json:"age,omitempty"`
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -336,7 +336,11 @@
 	if !all && !s.replica.rare.differsFrom(now, rareChecksum) {
 		return
 	}
-	s.startSync(address, all, syncTimeout, nil)
+	compare := s.mesh.compareRareRows
+	if all {
+		compare = s.mesh.compareAllRows
+	}
+	s.startSync(address, compare, syncTimeout, nil)
 }
 
 // mayLackRegistrations reports whether an instance with other registrations may
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -111,17 +111,19 @@
 	}
 }
 
-// startSync starts a comparison of the rows with those of another instance, which
-// transfers what either side lacks. If all is false, it compares only rows that
-// change rarely. At its end, it calls done, which may be nil, with the age of the other
-// instance's rows, which is nil if it is not known.
-func (s *state) startSync(address string, all bool, timeout time.Duration, done func(s *state, age *time.Duration)) {
+// A comparison compares the rows with those of the instance at an address, and transfers
+// what either side lacks. It returns the age of that instance's rows, nil if it is not known.
+type comparison func(ctx context.Context, address string) (age *time.Duration, err error)
+
+// startSync starts a comparison. At its end, it calls done, which may be nil, with the age
+// of the other instance's rows.
+func (s *state) startSync(address string, compare comparison, timeout time.Duration, done func(s *state, age *time.Duration)) {
 	s.comparing = true
 	m, ctx := s.mesh, s.ctx
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		age, err := m.compareRows(callCtx, address, all)
+		age, err := compare(callCtx, address)
 		if err != nil && ctx.Err() == nil {
 			m.log.Line("rows-not-compared").Str("address", address).Err(err).End()
 		}
@@ -134,8 +136,32 @@
 	}()
 }
 
-// compareRows compares the rows with those of another instance, and returns the age of its
-// rows if that is known.
+// pullFrom is the comparison of an instance whose rows are old. Often nothing has changed,
+// so that it compares checksums first: the versions of all rows are long.
+func (m *Mesh) pullFrom(ctx context.Context, address string) (age *time.Duration, err error) {
+	theirs, err := m.client.Sync(ctx, address, peer.SyncRequest{})
+	if err != nil {
+		return nil, err
+	}
+	equal, err := runInLoop(ctx, m, func(s *state) bool {
+		return theirs.Checksum == s.replica.rare.rows.Checksum() && theirs.FrequentChecksum == s.replica.frequent.rows.Checksum()
+	})
+	if err != nil || equal {
+		return theirs.Age, err
+	}
+	return m.compareAllRows(ctx, address)
+}
+
+// compareAllRows is the comparison of all rows.
+func (m *Mesh) compareAllRows(ctx context.Context, address string) (age *time.Duration, err error) {
+	return m.compareRows(ctx, address, true)
+}
+
+// compareRareRows is the comparison of the rows that change rarely.
+func (m *Mesh) compareRareRows(ctx context.Context, address string) (age *time.Duration, err error) {
+	return m.compareRows(ctx, address, false)
+}
+
 func (m *Mesh) compareRows(ctx context.Context, address string, all bool) (age *time.Duration, err error) {
 	digest, err := runInLoop(ctx, m, func(s *state) map[string]uint64 { return s.replica.digest(all) })
 	if err != nil {
@@ -207,7 +233,7 @@
 func (h handler) Sync(ctx context.Context, q peer.SyncRequest) (peer.SyncResult, error) {
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.SyncResult {
 		s.applyRows(q.Entries, 0)
-		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), Age: ageOf(time.Now(), s.mesh.AsOf())}
+		result := peer.SyncResult{Checksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(), Age: ageOf(time.Now(), s.mesh.AsOf())}
 		if q.Digest != nil {
 			result.Entries, result.Wanted = s.replica.compare(q.Digest, !q.RareOnly)
 		}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -29,8 +29,8 @@
 	// relayTimeout bounds a relay.
 	relayTimeout = time.Second
 	// pullDelay is the age of its rows from which on an instance asks others for theirs:
-	// the time between the responses of the store to the first follower and some delay.
-	pullDelay = 1200 * time.Millisecond
+	// that at which the second follower leads, and the time in which its relays arrive.
+	pullDelay = 1400 * time.Millisecond
 	// maxQuickPulls is the number of instances that are asked one directly after the
 	// other: the first followers of this failure domain and of two others.
 	maxQuickPulls = 3
@@ -228,7 +228,7 @@
 		return
 	}
 	s.pullSent = now
-	s.startSync(followers[s.pullSource%len(followers)].Address, true, pullTimeout, func(s *state, age *time.Duration) {
+	s.startSync(followers[s.pullSource%len(followers)].Address, s.mesh.pullFrom, pullTimeout, func(s *state, age *time.Duration) {
 		if age != nil {
 			s.hearAsOf(&s.pulledAsOf, now.Add(-*age))
 		}
@@ -242,7 +242,8 @@
 }
 
 // likelyFollowers returns the live members that have the highest rank of their failure
-// domain, that of this one first, and then those with the second highest.
+// domain, that of this one first, and then those with the second highest. Instances differ
+// in which of the other domains comes next.
 func (s *state) likelyFollowers() []member.Status {
 	byDomain := map[string][]member.Status{}
 	for _, m := range s.detector.Members() {
@@ -251,9 +252,12 @@
 		}
 	}
 	domains := slices.Sorted(maps.Keys(byDomain))
-	if own := slices.Index(domains, s.mesh.self.FailureDomain); own >= 0 {
-		domains = append([]string{s.mesh.self.FailureDomain}, slices.Delete(domains, own, own+1)...)
+	domains = slices.DeleteFunc(domains, func(d string) bool { return d == s.mesh.self.FailureDomain })
+	if n := uint64(len(domains)); n > 0 {
+		first := rank(s.mesh.self.Instance) % n
+		domains = slices.Concat(domains[first:], domains[:first])
 	}
+	domains = append([]string{s.mesh.self.FailureDomain}, domains...)
 	var followers []member.Status
 	for place := range followersPerDomain {
 		for _, domain := range domains {
