--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -11,11 +11,11 @@
 	// rankDelay is how much longer an instance waits before it takes the tenure for each
 	// live instance before it in the ranking, so that few try at once.
 	rankDelay = 300 * time.Millisecond
-	// watchers is the number of instances that read the record often, every watchInterval.
-	// Others read it the more rarely the further behind they are, by idleInterval for each
-	// rank.
+	// watchers is the number of instances that read the record soon, watchInterval after
+	// they last read or heard of it. Others wait the longer the further behind they are, by
+	// idleInterval for each rank.
 	watchers      = 3
-	watchInterval = 1500 * time.Millisecond
+	watchInterval = 1600 * time.Millisecond
 	idleInterval  = 2 * time.Second
 	// retryInterval is the time from a call to the store that failed to the next one.
 	retryInterval = 300 * time.Millisecond
@@ -41,7 +41,7 @@
 // after it has not acted for the given time.
 func NewTerms(apart time.Duration) Terms {
 	lease := apart * 3 / 2
-	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 3, Call: lease / 4}
+	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 2, Call: lease / 4}
 }
 
 // wait is how long a successor watches a record that does not change.
@@ -64,13 +64,15 @@
 // A Row is the record as the store has it. If there is none, the record is zero, and the
 // number of the version is 0.
 type Row struct {
-	Record  Record
-	Version era.Version
+	Record  Record      `json:"record"`
+	Version era.Version `json:"version"`
 }
 
-func (r Row) exists() bool { return r.Version.Number() > 0 }
+// Exists reports whether the store has the record.
+func (r Row) Exists() bool { return r.Version.Number() > 0 }
 
-func (r Row) token() uint64 {
+// Token returns the fencing token of the record's tenure.
+func (r Row) Token() uint64 {
 	if r.Record.Token > 0 {
 		return r.Record.Token
 	}
@@ -113,7 +115,7 @@
 	known     bool          // row has been read
 	seen      time.Duration // when this version of row was first seen
 	eraSeen   time.Duration // when the era of row was first seen
-	asked     time.Duration // when the row was last read or written
+	asked     time.Duration // when the row was last read, written or heard of
 	number    uint64        // of the newest write
 	begun     map[uint64]time.Duration
 	stale     bool          // row has to be read again
@@ -126,8 +128,8 @@
 	abstainTo time.Duration // no attempt to take the tenure before this time
 }
 
-// Holder returns the newest known record and its token.
-func (t *Tenure) Holder() (Record, uint64) { return t.row.Record, t.row.token() }
+// Row returns the newest known row.
+func (t *Tenure) Row() Row { return t.row }
 
 // Age returns the time since the newest confirmed write of this start was begun.
 func (t *Tenure) Age(now time.Duration) time.Duration { return now - t.leasedAt }
@@ -144,7 +146,7 @@
 		return 0, false
 	}
 	t.calls++
-	return t.row.token(), true
+	return t.row.Token(), true
 }
 
 // End takes the news that a call has ended, and that nothing of it is sent any more.
@@ -164,7 +166,7 @@
 func (t *Tenure) Releasing() bool { return t.leaving && t.own() }
 
 func (t *Tenure) own() bool {
-	return t.known && t.row.exists() && t.row.Record.Start == t.Start && !t.row.Record.Released
+	return t.known && t.row.Exists() && t.row.Record.Start == t.Start && !t.row.Record.Released
 }
 
 // Next returns the step that is due. The rank is the number of live instances that come
@@ -180,7 +182,7 @@
 	case t.own() && t.leaving:
 		r := t.row.Record
 		r.Released = true
-		r.Token = t.row.token()
+		r.Token = t.row.Token()
 		return t.write(now, r)
 	case t.own():
 		if t.leased && now-t.leasedAt < t.Terms.Renewal {
@@ -220,7 +222,7 @@
 
 func (t *Tenure) renew(now time.Duration) Step {
 	r := t.row.Record
-	r.Token = t.row.token()
+	r.Token = t.row.Token()
 	if now-t.tookAt > t.Terms.Lease {
 		r.Before = nil
 	}
@@ -231,7 +233,7 @@
 func (t *Tenure) takeAt(rank int) time.Duration {
 	delay := time.Duration(rank) * rankDelay
 	r := t.row.Record
-	firstEver := !t.row.exists()
+	firstEver := !t.row.Exists()
 	released := r.Released && len(r.Before) < maxBefore && (r.Holder == t.Instance || !slices.Contains(r.Before, t.Instance))
 	if t.row.Version.Era() == 0 && (firstEver || released) {
 		return t.seen + delay
@@ -242,7 +244,7 @@
 // holdersBefore returns Record.Before for a tenure that follows the known row.
 func (t *Tenure) holdersBefore() []string {
 	r := t.row.Record
-	if !t.row.exists() {
+	if !t.row.Exists() {
 		return nil
 	}
 	before := []string{r.Holder}
@@ -300,6 +302,17 @@
 	}
 }
 
+// Hear takes the row as another instance knows it.
+func (t *Tenure) Hear(now time.Duration, r Row) {
+	if !t.known || r.Version < t.row.Version {
+		return
+	}
+	stale := t.stale
+	t.LearnRow(now, r)
+	t.stale = stale
+	t.asked = now
+}
+
 // Written takes the version that a write has given the row.
 func (t *Tenure) Written(now time.Duration, s Step, version era.Version) {
 	t.LearnRow(now, Row{Record: s.Record, Version: version})
--- a/node/duty/runner.go
+++ b/node/duty/runner.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"banyanyard/core/duty"
@@ -88,8 +89,9 @@
 	asking   bool                           // a call to the store is in progress
 	subjects map[string]*subject
 	pacer    pacer
-	logged   string // the newest holder in the log
-	holds    bool   // as last logged
+	row      atomic.Pointer[duty.Row] // see Row
+	logged   string                   // the newest holder in the log
+	holds    bool                     // as last logged
 	health   callHealth
 	released chan struct{} // closed once the tenure has been given up; nil unless it is to be
 }
@@ -223,10 +225,25 @@
 	r.Log.Line("duty-store").Str("call", call).Str("expected", s.Expect.String()).Millis("lease-age-ms", r.tenure.Age(r.now())).Err(err).End()
 }
 
+// Row returns the newest known record of the tenure, or nil. It may be called concurrently.
+func (r *Runner) Row() *duty.Row { return r.row.Load() }
+
+// Hear takes the record as another instance knows it, so that the store need not be asked.
+// It may be called concurrently.
+func (r *Runner) Hear(ctx context.Context, row duty.Row) {
+	if known := r.Row(); known != nil && known.Version < row.Version {
+		r.enqueue(ctx, func(context.Context) { r.tenure.Hear(r.now(), row) })
+	}
+}
+
 // logHolder logs a new holder, and whether this instance may act.
 func (r *Runner) logHolder() {
 	now := r.now()
-	record, token := r.tenure.Holder()
+	row := r.tenure.Row()
+	if known := r.row.Load(); row.Exists() && (known == nil || known.Version != row.Version) {
+		r.row.Store(&row)
+	}
+	record := row.Record
 	holds := r.tenure.Holds(now, 0)
 	state := record.Start
 	if record.Released {
@@ -238,7 +255,7 @@
 	r.logged, r.holds = state, holds
 	r.Metrics.setHolds(holds)
 	ranking := r.Ranking()
-	line := r.Log.Line("duty-holder").Str("holder", record.Holder).Str("start", record.Start).Int("token", int64(token)).Bool("released", record.Released).
+	line := r.Log.Line("duty-holder").Str("holder", record.Holder).Str("start", record.Start).Int("token", int64(row.Token())).Bool("released", record.Released).
 		Bool("holds", holds).Int("rank", int64(ranking.Rank)).Int("live", int64(ranking.Live))
 	if holds {
 		line.Millis("lease-age-ms", r.tenure.Age(now))
--- a/node/duty/runner_test.go
+++ b/node/duty/runner_test.go
@@ -56,6 +56,7 @@
 
 // A counter is a task with a call every second, and the platform that gets it.
 type counter struct {
+	mu     sync.Mutex
 	next   time.Time
 	silent map[string]bool // by holder
 	acts   []string        // holders, in order of their calls
@@ -63,6 +64,8 @@
 }
 
 func (c *counter) Next(now time.Time) []duty.Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if now.Before(c.next) {
 		return nil
 	}
@@ -70,14 +73,20 @@
 }
 
 func (c *counter) Done(now time.Time, _ duty.Call, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err == nil {
 		c.next = now.Add(time.Second)
 	}
 }
 
 func (c *counter) Call(ctx context.Context, holder string, token uint64, _ duty.Call) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.silent[holder] {
+		c.mu.Unlock()
 		<-ctx.Done()
+		c.mu.Lock()
 		return ctx.Err()
 	}
 	if len(c.acts) == 0 || c.acts[len(c.acts)-1] != holder {
@@ -95,7 +104,11 @@
 	}{
 		{name: "stopped", within: 2 * time.Second, disturb: func(first *Runner, _ *bool, _ *counter) { first.GiveUp(context.Background()) }},
 		{name: "cut off from the store", within: 8 * time.Second, disturb: func(_ *Runner, cut *bool, _ *counter) { *cut = true }},
-		{name: "cut off from the platform's API", within: 12 * time.Second, disturb: func(first *Runner, _ *bool, platform *counter) { platform.silent[first.Instance] = true }},
+		{name: "cut off from the platform's API", within: 12 * time.Second, disturb: func(first *Runner, _ *bool, platform *counter) {
+			platform.mu.Lock()
+			defer platform.mu.Unlock()
+			platform.silent[first.Instance] = true
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -31,6 +31,8 @@
 	Bounds    Bounds // guarded by mu from the first request on
 	// Verdicts keeps the verdicts on requests that crash upstreams; nil if nothing does.
 	Verdicts VerdictStore
+	// Usage counts the requests that began to run; nil if nothing does.
+	Usage UsageCounter
 
 	instance string
 	table    atomic.Pointer[routing.Table]
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -77,6 +77,7 @@
 	probe         bool           // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool           // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits // see traits
+	usageCounted  bool           // see countUsage
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -300,6 +301,7 @@
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
 		return e.relayStream(ctx, answer, slot)
 	}
+	e.countUsage()
 	body, err := answer.ReadBody(maxBodyBytes, 0)
 	if err != nil {
 		return e.classifyReadError(ctx, err)
@@ -362,6 +364,7 @@
 		switch events {
 		case 0:
 			sampleStart = lastEvent
+			e.countUsage()
 			e.router.crashes.markWriting(e)
 		case paceSampleEvents:
 			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
