core/trial, node/exchange: the record decides between a stop and a completion

Cause: an instance that had stopped a trial ignored the record. 48 instances had stopped it at 23.3 s of 24, another recorded the completion at 24.2 s, and the platform ended the old version's upstreams. An instance that had stopped told nobody but by gossip, and its last report, that it had moved, still counted for the completion. Change: an instance follows the record, whose write is conditional (Trial.FollowRecord), whatever it has decided itself. A completion is not written unless each live instance has reported within a second that it has not stopped; reports and the answers to them carry a stop. Records older than the known one are ignored. rollout-completion logs what holds a completion back. Measured: TestRecordDecidesBetweenStopAndCompletion and TestStopBeforeCompletionWins fail before ("stopped != completed", "completed != stopped") and pass after.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -6,7 +6,8 @@
 // on exposure up to the order's deadline even if it is bad and nothing shows it
 // (exposure.go). The evidence of all instances is added up per kind of request and compared
 // with that of the old version, which runs at the same time (package rollout). A stop
-// propagates to all instances and is final.
+// propagates to all instances. The record of the order, which is written once, decides
+// between a stop and a completion that are under way at the same time.
 //
 // A Trial is not safe for concurrent use; its owner's mutex guards it. Methods
 // that depend on time take the current time.
@@ -20,11 +21,12 @@
 //     Bounds.ExposeSlack, have gone there, retries included;
 //   - the traffic moves only when what is left of the bound covers all requests
 //     expected up to the deadline, and nothing speaks against the new version;
-//   - after the move the trial is stopped before the bound is reached.
+//   - after the move the trial is stopped before the bound is reached;
+//   - a trial that has stopped gets no requests, unless the record says that it was
+//     completed.
 package trial
 
 import (
-	"slices"
 	"time"
 
 	"banyanyard/core/era"
@@ -49,12 +51,6 @@
 	// earliestMoveStart is the fraction of the order's duration after which sessions
 	// may be moved.
 	earliestMoveStart = 0.51
-	// completionMargin is the time before the order's deadline from which on a trial may be
-	// completed. It covers the write of the record.
-	completionMargin = time.Second
-	// drainMargin is the time before the order's deadline from which on streams on the
-	// old version are no longer waited for: they continue on the new version.
-	drainMargin = 800 * time.Millisecond
 	// exposeSlackFraction is the part of Bounds.ExposeSlack that the instances use
 	// together; the rest is for attempts in flight when a trial stops.
 	exposeSlackFraction = 0.5
@@ -102,7 +98,8 @@
 // A State is the progress of a trial.
 type State uint8
 
-// The states of a trial. Completed and Stopped are final.
+// The states of a trial. Completed and Stopped are final, except that the record of the
+// order replaces either by the other.
 const (
 	Running State = iota
 	Completed
@@ -131,7 +128,8 @@
 	Exposure Exposure               `json:"exposure"` // of this instance
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
-	OldRunning int `json:"old-running"`
+	OldRunning int  `json:"old-running"`
+	Stopped    bool `json:"stopped,omitempty"` // the instance has stopped the trial, or knows that it was
 	// OldSessions are recent sessions on the old version that instances which do
 	// not know them would send to the new one.
 	OldSessions OldSessions `json:"old-sessions,omitempty"`
@@ -145,7 +143,8 @@
 	Elapsed time.Duration `json:"elapsed"`
 	// MoveAt is when the traffic moves, as a time since the order; 0 while that is not
 	// decided.
-	MoveAt time.Duration `json:"move-at,omitempty"`
+	MoveAt  time.Duration `json:"move-at,omitempty"`
+	Stopped bool          `json:"stopped,omitempty"` // see Report.Stopped
 	// OldSessions are those of all reports.
 	OldSessions OldSessions `json:"old-sessions,omitempty"`
 }
@@ -165,6 +164,7 @@
 	ownEvidence   map[string]rollout.Evidence // by kind of request
 	ownMoved      map[string]rollout.Arm      // see Report.Moved
 	reports       map[string]Report           // by instance
+	reportTimes   map[string]time.Time        // of the reports
 	retired       Report                      // sum of reports from before restarts of instances
 	latencyMeans  map[string]*mean            // of the old version, by kind of request
 	eventGapMeans map[string]*mean            // of the old version, by kind of request
@@ -197,7 +197,7 @@
 func New(now time.Time, o Order, b Bounds) *Trial {
 	return &Trial{
 		Order: o, Baseline: &Baseline{}, bounds: b, created: now, startTime: now,
-		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{},
+		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{}, reportTimes: map[string]time.Time{},
 		latencyMeans: map[string]*mean{}, eventGapMeans: map[string]*mean{}, sessions: map[string]*sessionState{},
 		foreignSessions: map[SessionHash]time.Time{},
 	}
@@ -206,8 +206,8 @@
 // State returns the state and, when stopped, the reason.
 func (t *Trial) State() (State, string) { return t.state, t.stopReason }
 
-// AdoptState takes over a final state from another instance or the store. It
-// reports whether the state changed; a state that is already final is kept.
+// AdoptState takes over a final state from another instance. It reports whether the
+// state changed; a state that is already final is kept.
 func (t *Trial) AdoptState(s State, reason string) bool {
 	if t.state != Running || s == Running {
 		return false
@@ -454,7 +454,7 @@
 
 // LearnReport adds the report of another instance to the evidence, replacing
 // its previous one. Reports of other orders are ignored. It reports whether
-// that stopped the trial.
+// that stopped the trial, by the evidence or because the other instance has.
 func (t *Trial) LearnReport(now time.Time, instance string, r Report) bool {
 	if r.To != t.Order.To || t.state != Running {
 		return false
@@ -463,6 +463,10 @@
 		t.retire(old) // the instance has restarted and counts anew
 	}
 	t.reports[instance] = r
+	t.reportTimes[instance] = now
+	if r.Stopped {
+		return t.AdoptState(Stopped, stoppedElsewhere)
+	}
 	t.learnOldSessions(now, r.OldSessions)
 	t.alignStart(now, r.Elapsed)
 	return t.stopIfWorse()
@@ -479,13 +483,14 @@
 // Summary returns the total over all instances that this instance knows of.
 func (t *Trial) Summary(now time.Time) Summary {
 	t.updateClearance(now)
-	return Summary{To: t.Order.To, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime), MoveAt: t.moveAt, OldSessions: t.knownOldSessions(now)}
+	return Summary{To: t.Order.To, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime), MoveAt: t.moveAt, Stopped: t.state == Stopped, OldSessions: t.knownOldSessions(now)}
 }
 
-// LearnSummary merges the summary of another instance.
-func (t *Trial) LearnSummary(now time.Time, s Summary) {
+// LearnSummary merges the summary of another instance. It reports whether that stopped
+// the trial.
+func (t *Trial) LearnSummary(now time.Time, s Summary) bool {
 	if s.To != t.Order.To {
-		return
+		return false
 	}
 	t.lastSummary = now
 	t.learnOldSessions(now, s.OldSessions)
@@ -495,12 +500,13 @@
 		t.moveAt = s.MoveAt
 	}
 	t.alignStart(now, s.Elapsed)
+	return s.Stopped && t.AdoptState(Stopped, stoppedElsewhere)
 }
 
 // Report returns this instance's evidence. oldRunning is the number of its
 // attempts in flight on the old version.
 func (t *Trial) Report(now time.Time, oldRunning int) Report {
-	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, OldSessions: t.oldCanarySessions(now)}
+	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
 	for kind, e := range t.ownEvidence {
 		r.Kinds[kind] = e
 	}
@@ -513,50 +519,6 @@
 	return r
 }
 
-// MayComplete reports whether the trial may be recorded as completed, which cannot be
-// undone: so little of the order's duration is left that there will be no more evidence
-// in time, and what there is does not speak against the new version.
-func (t *Trial) MayComplete(now time.Time) bool {
-	return t.state == Running && t.Moved(now) && now.Sub(t.startTime) > t.Order.Duration-completionMargin && !t.isSuspicious()
-}
-
-// MayCutOff reports whether attempts that still run on the old version are no longer
-// waited for: so little of the order's duration is left, and the bound on exposure
-// covers them if they continue on the new version. oldRunning is their number at this
-// instance.
-func (t *Trial) MayCutOff(now time.Time, oldRunning int) bool {
-	elapsed := now.Sub(t.startTime)
-	if elapsed <= t.Order.Duration-drainMargin {
-		return false
-	}
-	for _, r := range t.reports {
-		oldRunning += max(r.OldRunning, 0)
-	}
-	return t.exposureBeyond(elapsed, elapsed)+float64(oldRunning) <= cutOffSlackFraction*t.bounds.ExposeSlack
-}
-
-// AllMoved reports whether this instance and all the named ones send all
-// requests to the new version.
-func (t *Trial) AllMoved(now time.Time, instances []string) bool {
-	return t.Moved(now) && !slices.ContainsFunc(instances, func(name string) bool {
-		r, ok := t.reports[name]
-		return !ok || r.OldRunning < 0
-	})
-}
-
-// OldVersionDrained reports whether no attempt is in flight on the old version
-// at this instance, which has oldRunning, and at the named ones, according to
-// their reports.
-func (t *Trial) OldVersionDrained(now time.Time, oldRunning int, instances []string) bool {
-	if !t.Moved(now) || oldRunning > 0 {
-		return false
-	}
-	return !slices.ContainsFunc(instances, func(name string) bool {
-		r, ok := t.reports[name]
-		return !ok || r.OldRunning != 0
-	})
-}
-
 // ExpireSessions removes sessions without recent requests.
 func (t *Trial) ExpireSessions(now time.Time) {
 	for id, s := range t.sessions {
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -70,6 +70,7 @@
 	members  []member.Status          // guarded by Router.mu
 	records  map[string]RolloutRecord // guarded by Router.mu; by service
 	writeDue map[string]time.Time     // earliest next write of a record, by service; used by Run only
+	blockers map[string]string        // that were logged last; guarded by Router.mu; by service
 }
 
 // SetMembers replaces the instances that may be running.
@@ -87,18 +88,26 @@
 	r.fleet.SetInstances(names)
 }
 
-// ApplyRecord applies the stored record of a service to its trial. A record
-// older than the known one isn't kept.
+// ApplyRecord applies the stored record of a service to its trial. A record older than the
+// known one is ignored.
 func (c *RolloutCoordinator) ApplyRecord(service string, record RolloutRecord) {
+	if c.keepRecord(service, record) {
+		c.Router.followRecord(service, record, "record")
+	}
+}
+
+// keepRecord keeps a record unless a newer one is known.
+func (c *RolloutCoordinator) keepRecord(service string, record RolloutRecord) bool {
 	c.Router.mu.Lock()
+	defer c.Router.mu.Unlock()
 	if c.records == nil {
 		c.records = map[string]RolloutRecord{}
 	}
-	if c.records[service].Version < record.Version {
-		c.records[service] = record
+	if record.Version < c.records[service].Version {
+		return false
 	}
-	c.Router.mu.Unlock()
-	c.Router.AdoptTrialState(service, record.To, record.State, "adopted from the store's record")
+	c.records[service] = record
+	return true
 }
 
 // RemoveRecord forgets the stored record of a service, which the store no longer has, so
@@ -115,7 +124,7 @@
 	c.Router.mu.Lock()
 	record := c.records[service]
 	c.Router.mu.Unlock()
-	c.Router.AdoptTrialState(service, record.To, record.State, "adopted from the store's record")
+	c.Router.followRecord(service, record, "record")
 }
 
 // HandleEntry processes a gossip entry of another instance.
@@ -203,25 +212,50 @@
 		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
 		check.state, _ = t.State()
 		check.wantState = check.state
-		if t.MayComplete(now) && (t.OldVersionDrained(now, oldRunning, others) || t.AllMoved(now, others) && t.MayCutOff(now, oldRunning)) {
+		blocker := t.CompletionBlocker(now, oldRunning, others)
+		if blocker == "" {
 			check.wantState = trial.Completed
 		}
+		if rank < collectorCount && check.state == trial.Running && t.IsEnding(now) {
+			c.logBlocker(now, t, oldRunning, blocker)
+		}
 		check.rank, check.collectors = rank, collectors
 		checks = append(checks, check)
 	}
 	return checks
 }
 
-// otherInstances returns the names of the other instances that are not known to
-// be gone. The caller holds Router.mu.
-func (c *RolloutCoordinator) otherInstances() []string {
-	var names []string
+// logBlocker logs why a trial is not recorded as completed at the end of its time, each
+// time that the reason changes. The caller holds Router.mu.
+func (c *RolloutCoordinator) logBlocker(now time.Time, t *trial.Trial, oldRunning int, blocker string) {
+	service := t.Order.Service
+	if last, logged := c.blockers[service]; logged && last == blocker {
+		return
+	}
+	if c.blockers == nil {
+		c.blockers = map[string]string{}
+	}
+	c.blockers[service] = blocker
+	exposure := t.TotalExposure()
+	c.Router.Log.Line("rollout-completion").Str("service", service).Str("to", t.Order.To).Str("version", t.Order.Revision.String()).
+		Bool("allowed", blocker == "").Str("why", blocker).Millis("age-ms", now.Sub(t.StartTime())).Int("old-running", int64(oldRunning)).
+		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).End()
+}
+
+// otherInstances returns the other instances that are not known to be gone. The caller
+// holds Router.mu.
+func (c *RolloutCoordinator) otherInstances() trial.Others {
+	var o trial.Others
 	for _, m := range c.members {
-		if m.State != member.Gone && m.Instance != c.Instance {
-			names = append(names, m.Instance)
+		if m.State == member.Gone || m.Instance == c.Instance {
+			continue
+		}
+		o.Possible = append(o.Possible, m.Instance)
+		if m.State == member.Live {
+			o.Live = append(o.Live, m.Instance)
 		}
 	}
-	return names
+	return o
 }
 
 // rankInstances ranks the live instances for a service by rendezvous hashing. It
@@ -255,11 +289,13 @@
 // publishCheck publishes a stop that is not yet recorded and, if report is set,
 // sends this instance's evidence to the collectors.
 func (c *RolloutCoordinator) publishCheck(ctx context.Context, check trialCheck, report bool) {
-	if check.state == trial.Stopped && check.storedRecord.State != trial.Stopped {
+	stopped := check.state == trial.Stopped && check.storedRecord.State != trial.Stopped
+	if stopped {
 		c.publishStop(ctx, check.order)
 	}
 	// Once the traffic has moved, what is in flight decides when the trial may end.
-	if !(report || check.report.OldRunning >= 0) || check.state != trial.Running {
+	due := report || check.report.OldRunning >= 0
+	if !stopped && !(due && check.state == trial.Running) {
 		return
 	}
 	data, err := json.Marshal(check.report)
@@ -325,8 +361,8 @@
 	err := c.Records.Write(callCtx, check.order.Service, record)
 	c.Router.Log.Line("rollout-record").Str("service", check.order.Service).Str("to", check.order.To).Str("version", check.order.Revision.String()).
 		Str("state", check.wantState.String()).Str("record-version", check.storedRecord.Version.String()).Int("rank", int64(check.rank)).Err(err).End()
-	if err == nil && check.wantState != check.state {
-		c.Router.AdoptTrialState(check.order.Service, check.order.To, check.wantState, "recorded by this instance")
+	if err == nil {
+		c.Router.followRecord(key, record, "recorded by this instance")
 	}
 }
 
--- /dev/null
+++ b/node/exchange/records_test.go
@@ -0,0 +1,182 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanyard/core/gossip"
+	"banyanyard/core/member"
+	"banyanyard/core/placement"
+	"banyanyard/core/trial"
+
+	"github.com/matryer/is"
+)
+
+// A rolloutGroup is a group of instances with one record and an order that is under way.
+// Messages between them take time, and those of an isolated instance are lost.
+type rolloutGroup struct {
+	coordinators []*RolloutCoordinator
+	random       *rand.Rand
+	isolated     int // index of the instance whose messages are lost; -1 for none
+
+	mu     sync.Mutex
+	record RolloutRecord // guarded by mu
+}
+
+const (
+	groupOrderDuration = 24 * time.Second
+	maxGroupDelay      = 300 * time.Millisecond // of a message
+)
+
+func newRolloutGroup(ctx context.Context, t *testing.T, instances int, seed uint64) *rolloutGroup {
+	g := &rolloutGroup{random: rand.New(rand.NewPCG(seed, 41)), isolated: -1}
+	var members []member.Status
+	for i := range instances {
+		members = append(members, member.Status{Identity: member.Identity{Instance: fmt.Sprint(i), Address: fmt.Sprint(i)}})
+	}
+	for i := range instances {
+		r := newTestRouter(2)
+		t.Cleanup(r.Log.Close)
+		r.WithFleet(func(now time.Time, f *placement.Fleet) {
+			f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "new", FailureDomain: "d0", Version: "v2", Slots: 4})
+		})
+		c := &RolloutCoordinator{Router: r, Records: g, Peers: groupMember{group: g, index: i}, Instance: fmt.Sprint(i)}
+		c.SetMembers(members)
+		r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: groupOrderDuration})
+		g.coordinators = append(g.coordinators, c)
+		go c.Run(ctx)
+	}
+	return g
+}
+
+func (g *rolloutGroup) delay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(g.random.Int64N(int64(maxGroupDelay)))
+}
+
+// Write implements RecordStore.
+func (g *rolloutGroup) Write(_ context.Context, service string, r RolloutRecord) error {
+	time.Sleep(g.delay())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.record.Version != r.Version {
+		return errors.New("another version is stored")
+	}
+	r.Version++
+	g.record = r
+	for _, c := range g.coordinators {
+		delay := time.Duration(g.random.Int64N(int64(maxGroupDelay)))
+		time.AfterFunc(delay, func() { c.ApplyRecord(service, r) })
+	}
+	return nil
+}
+
+// stop stops the trial of one instance, as its evidence does.
+func (g *rolloutGroup) stop(instance int) {
+	r := g.coordinators[instance].Router
+	r.AdoptTrialState("s", "v2", trial.Stopped, "test")
+	select {
+	case r.trialStops <- struct{}{}:
+	default:
+	}
+}
+
+// A groupMember is the PeerClient of one instance.
+type groupMember struct {
+	group *rolloutGroup
+	index int
+}
+
+func (m groupMember) Publish(_ context.Context, e gossip.Entry, _ bool) {
+	for i, c := range m.group.coordinators {
+		if i != m.index && m.index != m.group.isolated && i != m.group.isolated {
+			time.AfterFunc(m.group.delay(), func() { c.HandleEntry(e) })
+		}
+	}
+}
+
+func (m groupMember) Report(_ context.Context, address string, e gossip.Entry) (gossip.Entry, error) {
+	if m.index == m.group.isolated || address == fmt.Sprint(m.group.isolated) {
+		return gossip.Entry{}, errors.New("lost")
+	}
+	time.Sleep(m.group.delay())
+	for _, c := range m.group.coordinators {
+		if c.Instance == address {
+			return c.HandleReport(e), nil
+		}
+	}
+	return gossip.Entry{}, errors.New("no such instance")
+}
+
+// TestRecordDecidesBetweenStopAndCompletion lets an instance stop a trial about when others
+// record its completion. All instances end in the state of the record, since a record of
+// the completion ends the old version.
+func TestRecordDecidesBetweenStopAndCompletion(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			g := newRolloutGroup(ctx, t, 5, seed)
+			time.Sleep(groupOrderDuration - 2*time.Second + time.Duration(g.random.Int64N(int64(3*time.Second))))
+			if seed%2 == 0 {
+				g.isolated = g.random.IntN(5)
+			}
+			stopper := max(g.isolated, 0)
+			g.stop(stopper)
+			time.Sleep(10 * time.Second)
+			is.True(g.record.State != trial.Running)
+			for _, c := range g.coordinators {
+				is.Equal(trialState(c.Router, "s"), g.record.State.String())
+				slot, _ := c.Router.pick(&Request{Service: "s"}, placement.Criteria{Service: "s"}, &versionChoice{})
+				is.Equal(slot.Upstream.Version == "v2", g.record.State == trial.Completed)
+			}
+		})
+	}
+}
+
+// TestStopBeforeCompletionWins stops a trial at one instance before the completion could be
+// recorded: also if its gossip is lost, it is not completed.
+func TestStopBeforeCompletionWins(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			g := newRolloutGroup(ctx, t, 5, seed)
+			for _, c := range g.coordinators {
+				c.Peers = reportsOnly{c.Peers.(groupMember)}
+			}
+			time.Sleep(groupOrderDuration - time.Second - maxGroupDelay)
+			g.stop(g.random.IntN(5))
+			time.Sleep(10 * time.Second)
+			is.Equal(g.record.State, trial.Stopped)
+		})
+	}
+}
+
+// reportsOnly loses what is published.
+type reportsOnly struct{ groupMember }
+
+func (reportsOnly) Publish(context.Context, gossip.Entry, bool) {}
+
+// TestRecordOfAnotherOrderIsNotFollowed gives instances a record that is older than the known one.
+func TestRecordOfAnotherOrderIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(2)
+	defer r.Log.Close()
+	c := &RolloutCoordinator{Router: r, Instance: "i0"}
+	r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: time.Minute})
+	c.ApplyRecord("s", RolloutRecord{State: trial.Stopped, To: "v2", Revision: 7, Version: 10})
+	c.ApplyRecord("s", RolloutRecord{State: trial.Completed, To: "v2", Revision: 3, Version: 5})
+	is.Equal(trialState(r, "s"), "stopped")
+	c.ApplyRecord("s", RolloutRecord{State: trial.Completed, To: "v3", Revision: 9, Version: 11})
+	is.Equal(trialState(r, "s"), "stopped")
+}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -95,8 +95,8 @@
 	delete(r.trials, service)
 }
 
-// AdoptTrialState adopts the state that another instance or the store has for the
-// trial of a version. The reason is logged.
+// AdoptTrialState adopts the state that another instance has for the trial of a version.
+// The reason is logged.
 func (r *Router) AdoptTrialState(service, to string, s trial.State, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,6 +107,15 @@
 	r.logTrial(t, "told")
 }
 
+// followRecord takes over the state of the record of a service's trial.
+func (r *Router) followRecord(service string, record RolloutRecord, source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[service]; t != nil && t.Order.To == record.To && t.FollowRecord(record.State) {
+		r.logTrial(t, source)
+	}
+}
+
 // LearnReport adds the evidence of another instance to the trial of a service, and
 // returns the summary over all instances.
 func (r *Router) LearnReport(instance, service string, report trial.Report) trial.Summary {
@@ -118,7 +127,7 @@
 	}
 	now := time.Now()
 	if t.LearnReport(now, instance, report) {
-		r.signalTrialStop(t)
+		r.signalTrialStop(t, "report")
 	}
 	return t.Summary(now)
 }
@@ -128,7 +137,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.trials[service]; t != nil {
-		t.LearnSummary(time.Now(), s)
+		if t.LearnSummary(time.Now(), s) {
+			r.signalTrialStop(t, "summary")
+		}
 	}
 }
 
@@ -140,10 +151,10 @@
 		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 }
 
-// signalTrialStop logs that the evidence has stopped a trial and signals it on
-// trialStops. The caller holds mu.
-func (r *Router) signalTrialStop(t *trial.Trial) {
-	r.logTrial(t, "evidence")
+// signalTrialStop logs that a trial has been stopped and signals it on trialStops. The
+// caller holds mu.
+func (r *Router) signalTrialStop(t *trial.Trial, source string) {
+	r.logTrial(t, source)
 	select {
 	case r.trialStops <- struct{}{}:
 	default:
@@ -277,7 +288,7 @@
 		e.versionChoice.toNew = false
 	}
 	if t.RecordOutcome(o) {
-		r.signalTrialStop(t)
+		r.signalTrialStop(t, "evidence")
 	}
 }
 
@@ -293,7 +304,7 @@
 		r.baseline(e.request.Service).Gaps.Record(o.Kind, eventGap)
 	}
 	if t != nil && t.RecordEventGap(time.Now(), o) {
-		r.signalTrialStop(t)
+		r.signalTrialStop(t, "evidence")
 	}
 }
 
