--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -17,8 +17,10 @@
 	watchers      = 3
 	watchInterval = 1600 * time.Millisecond
 	idleInterval  = 2 * time.Second
-	// retryInterval is the time from a call to the store that failed to the next one.
-	retryInterval = 300 * time.Millisecond
+	// minRetry and maxRetry bound the time from a call to the store that failed to the next
+	// one, which doubles with each further one.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 2400 * time.Millisecond
 	// maxBefore bounds Record.Before.
 	maxBefore = 8
 )
@@ -119,6 +121,7 @@
 	number    uint64        // of the newest write
 	begun     map[uint64]time.Duration
 	stale     bool          // row has to be read again
+	failures  int           // of calls to the store since the last that was answered
 	retryAt   time.Duration // no call to the store before this time
 	leased    bool          // a write of this start has been confirmed; leasedAt is set
 	leasedAt  time.Duration // when the newest confirmed write was begun
@@ -172,34 +175,39 @@
 // Next returns the step that is due. The rank is the number of live instances that come
 // before this one when a new holder is sought.
 func (t *Tenure) Next(now time.Duration, rank int) Step {
+	step := Step{}
 	switch {
 	case now < t.retryAt:
 		return Step{}
 	case !t.known || t.stale:
 		return t.read(now)
-	case t.own() && t.leaving && t.calls > 0:
-		return Step{}
-	case t.own() && t.leaving:
-		r := t.row.Record
-		r.Released = true
-		r.Token = t.row.Token()
-		return t.write(now, r)
 	case t.own():
-		if t.leased && now-t.leasedAt < t.Terms.Renewal {
-			return Step{}
-		}
-		if t.mayRenew(now) {
-			return t.renew(now)
-		}
+		step = t.nextOwn(now)
 	case now >= t.abstainTo && now >= t.takeAt(rank):
 		t.leaving = false
 		t.tookAt = now
-		return t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
+		step = t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
 	}
-	if now-t.asked >= readInterval(rank) {
+	if step.Kind == Wait && !t.leased && now-t.asked >= readInterval(rank) {
 		return t.read(now)
 	}
-	return Step{}
+	return step
+}
+
+// nextOwn returns the step that is due while the row is of this start.
+func (t *Tenure) nextOwn(now time.Duration) Step {
+	switch {
+	case t.leaving && t.calls > 0:
+		return Step{}
+	case t.leaving:
+		r := t.row.Record
+		r.Released = true
+		r.Token = t.row.Token()
+		return t.write(now, r)
+	case t.leased && now-t.leasedAt < t.Terms.Renewal, !t.mayRenew(now):
+		return Step{}
+	}
+	return t.renew(now)
 }
 
 func readInterval(rank int) time.Duration {
@@ -280,6 +288,7 @@
 // LearnRow takes the row as it was read. Rows older than the known one are ignored.
 func (t *Tenure) LearnRow(now time.Duration, r Row) {
 	t.stale = false
+	t.failures = 0
 	if t.known && r.Version < t.row.Version {
 		return
 	}
@@ -307,9 +316,9 @@
 	if !t.known || r.Version < t.row.Version {
 		return
 	}
-	stale := t.stale
+	stale, failures := t.stale, t.failures
 	t.LearnRow(now, r)
-	t.stale = stale
+	t.stale, t.failures = stale, failures
 	t.asked = now
 }
 
@@ -319,10 +328,14 @@
 }
 
 // Conflict takes the news that the row has another version than a write expected.
-func (t *Tenure) Conflict(time.Duration) { t.stale = true }
+func (t *Tenure) Conflict() {
+	t.stale = true
+	t.failures = 0
+}
 
-// Fail takes the news that a step has failed or that its outcome is not known.
-func (t *Tenure) Fail(now time.Duration, s Step) {
-	t.retryAt = now + retryInterval
-	t.stale = t.stale || s.Kind == Write
+// Fail takes the news that a step has failed or that its outcome is not known. A write is
+// then tried again as it was: if it took effect after all, the row has another version.
+func (t *Tenure) Fail(now time.Duration, _ Step) {
+	t.retryAt = now + min(minRetry<<min(t.failures, 8), maxRetry)
+	t.failures++
 }
--- a/core/duty/tenure_test.go
+++ b/core/duty/tenure_test.go
@@ -67,7 +67,8 @@
 	token  uint64
 }
 
-// A simulation plays drawn pauses, kills, cuts, stops and failures of the store.
+// A simulation plays drawn pauses, kills, cuts, stops and failures of the store, between
+// instances that tell each other of the row.
 type simulation struct {
 	terms Terms
 	// unchecked lets holders send without a look at the clock, as if they were paused
@@ -98,9 +99,13 @@
 		}
 		for i, a := range actors {
 			sim.disturb(a, now, draw, trouble)
-			if now >= a.pausedUntil {
-				sim.advance(store, a, i, now, draw)
+			if now < a.pausedUntil {
+				continue
 			}
+			if other := actors[draw(len(actors))]; draw(20) == 0 && now >= other.pausedUntil {
+				a.tenure.Hear(now+a.offset, other.tenure.Row())
+			}
+			sim.advance(store, a, i, now, draw)
 		}
 	}
 }
@@ -180,7 +185,7 @@
 		store.late = append(store.late, lateWrite{at: now + time.Duration(1000+draw(5000))*time.Millisecond, step: step})
 		a.result, a.stepEnds = fail, now+1500*time.Millisecond
 	case !store.write(step):
-		a.result = a.tenure.Conflict
+		a.result = func(time.Duration) { a.tenure.Conflict() }
 	case chance < 4:
 		a.result, a.stepEnds = fail, now+1500*time.Millisecond
 	default:
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -18,7 +18,7 @@
 }
 
 // Learn adds a report. Of each count, the highest reported one holds: counts only grow.
-func (l *Ledger) Learn(s Spans, r Report) {
+func (l *Ledger) Learn(r Report) {
 	if l.starts == nil {
 		l.starts = map[string]*account{}
 	}
--- a/node/duty/runner.go
+++ b/node/duty/runner.go
@@ -201,7 +201,7 @@
 		case err == nil:
 			r.tenure.Written(r.now(), s, version)
 		case errors.Is(err, ErrChanged):
-			r.tenure.Conflict(r.now())
+			r.tenure.Conflict()
 		default:
 			r.tenure.Fail(r.now(), s)
 			r.logFailure("write", s, err)
--- a/node/duty/usage.go
+++ b/node/duty/usage.go
@@ -147,7 +147,7 @@
 func (u *Usage) ReportToOthers(ctx context.Context) {
 	u.mu.Lock()
 	now := u.now()
-	u.ledger.Learn(u.Spans, u.report(now, nil))
+	u.ledger.Learn(u.report(now, nil))
 	u.ledger.Forget(u.Spans, now)
 	holder := ""
 	if row := u.Tenure.Row(); row != nil {
@@ -235,7 +235,7 @@
 	}
 	u.mu.Lock()
 	now := u.Clock()
-	u.ledger.Learn(u.Spans, report)
+	u.ledger.Learn(report)
 	u.clock.Observe(now, report.Start, time.UnixMilli(report.WallMs))
 	u.clock.Observe(now, u.Self.ID, time.Now())
 	at, sources := u.clock.Median(now)
@@ -254,7 +254,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	u.ledger.Learn(u.Spans, u.report(now, nil))
+	u.ledger.Learn(u.report(now, nil))
 	for number := range u.done {
 		if now.Sub(u.Spans.End(number)) > 2*u.Spans.Late {
 			delete(u.done, number)
