--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -18,7 +18,7 @@
 	watchInterval = 1600 * time.Millisecond
 	idleInterval  = 2 * time.Second
 	// minRetry and maxRetry bound the time from a call to the store that failed to the next
-	// one, which doubles with each further one.
+	// one, which doubles with each further one. Instances that read rarely retry as rarely.
 	minRetry = 300 * time.Millisecond
 	maxRetry = 2400 * time.Millisecond
 	// maxBefore bounds Record.Before.
@@ -121,6 +121,7 @@
 	number    uint64        // of the newest write
 	begun     map[uint64]time.Duration
 	stale     bool          // row has to be read again
+	rank      int           // as Next was last told
 	failures  int           // of calls to the store since the last that was answered
 	retryAt   time.Duration // no call to the store before this time
 	leased    bool          // a write of this start has been confirmed; leasedAt is set
@@ -134,8 +135,9 @@
 // Row returns the newest known row.
 func (t *Tenure) Row() Row { return t.row }
 
-// Age returns the time since the newest confirmed write of this start was begun.
-func (t *Tenure) Age(now time.Duration) time.Duration { return now - t.leasedAt }
+// Age returns the time since the newest confirmed write of this start was begun, and false if
+// the tenure is not that of this start.
+func (t *Tenure) Age(now time.Duration) (time.Duration, bool) { return now - t.leasedAt, t.leased }
 
 // Holds reports whether a call that takes up to the given time may be sent now.
 func (t *Tenure) Holds(now, longest time.Duration) bool {
@@ -175,6 +177,7 @@
 // Next returns the step that is due. The rank is the number of live instances that come
 // before this one when a new holder is sought.
 func (t *Tenure) Next(now time.Duration, rank int) Step {
+	t.rank = rank
 	step := Step{}
 	switch {
 	case now < t.retryAt:
@@ -336,6 +339,6 @@
 // Fail takes the news that a step has failed or that its outcome is not known. A write is
 // then tried again as it was: if it took effect after all, the row has another version.
 func (t *Tenure) Fail(now time.Duration, _ Step) {
-	t.retryAt = now + min(minRetry<<min(t.failures, 8), maxRetry)
+	t.retryAt = now + min(minRetry<<min(t.failures, 16), max(maxRetry, readInterval(t.rank)))
 	t.failures++
 }
--- a/node/duty/calls.go
+++ b/node/duty/calls.go
@@ -111,8 +111,9 @@
 		s.notBefore = now + backoff(s.failures)
 	}
 	r.Metrics.countCall(c.Duty, outcome)
+	age, _ := r.tenure.Age(now)
 	r.Log.Line("duty-call").Str("duty", c.Duty).Str("subject", c.Subject).Int("token", int64(token)).Str("outcome", outcome).
-		Int("failures", int64(s.failures)).Millis("took-ms", now-began).Millis("lease-age-ms", r.tenure.Age(now)).Err(err).End()
+		Int("failures", int64(s.failures)).Millis("took-ms", now-began).Millis("lease-age-ms", age).Err(err).End()
 	task.Done(time.Now(), c, err)
 	if r.health.record(now, began, outcome != "no-answer") && r.Ranking().Live > 1 && r.released == nil {
 		r.Log.Line("duty-handed-over").Millis("unanswered-ms", handOverAfter).Millis("abstain-ms", abstainTime).End()
--- a/node/duty/runner.go
+++ b/node/duty/runner.go
@@ -222,7 +222,11 @@
 }
 
 func (r *Runner) logFailure(call string, s duty.Step, err error) {
-	r.Log.Line("duty-store").Str("call", call).Str("expected", s.Expect.String()).Millis("lease-age-ms", r.tenure.Age(r.now())).Err(err).End()
+	line := r.Log.Line("duty-store").Str("call", call).Str("expected", s.Expect.String())
+	if age, ok := r.tenure.Age(r.now()); ok {
+		line.Millis("lease-age-ms", age)
+	}
+	line.Err(err).End()
 }
 
 // Row returns the newest known record of the tenure, or nil. It may be called concurrently.
@@ -231,7 +235,7 @@
 // Hear takes the record as another instance knows it, so that the store need not be asked.
 // It may be called concurrently.
 func (r *Runner) Hear(ctx context.Context, row duty.Row) {
-	if known := r.Row(); known != nil && known.Version < row.Version {
+	if known := r.Row(); known == nil || known.Version < row.Version {
 		r.enqueue(ctx, func(context.Context) { r.tenure.Hear(r.now(), row) })
 	}
 }
@@ -257,8 +261,8 @@
 	ranking := r.Ranking()
 	line := r.Log.Line("duty-holder").Str("holder", record.Holder).Str("start", record.Start).Int("token", int64(row.Token())).Bool("released", record.Released).
 		Bool("holds", holds).Int("rank", int64(ranking.Rank)).Int("live", int64(ranking.Live))
-	if holds {
-		line.Millis("lease-age-ms", r.tenure.Age(now))
+	if age, ok := r.tenure.Age(now); ok {
+		line.Millis("lease-age-ms", age)
 	}
 	line.End()
 }
