--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -17,8 +17,10 @@
 	watchers      = 3
 	watchInterval = 1600 * time.Millisecond
 	idleInterval  = 2 * time.Second
-	// retryInterval is the time from a call to the store that failed to the next one.
-	retryInterval = 300 * time.Millisecond
+	// minRetry and maxRetry bound the time from a call to the store that failed to the next
+	// one, which doubles with each further one. Instances that read rarely retry as rarely.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 2400 * time.Millisecond
 	// maxBefore bounds Record.Before.
 	maxBefore = 8
 )
@@ -119,6 +121,8 @@
 	number    uint64        // of the newest write
 	begun     map[uint64]time.Duration
 	stale     bool          // row has to be read again
+	rank      int           // as Next was last told
+	failures  int           // of calls to the store since the last that was answered
 	retryAt   time.Duration // no call to the store before this time
 	leased    bool          // a write of this start has been confirmed; leasedAt is set
 	leasedAt  time.Duration // when the newest confirmed write was begun
@@ -131,8 +135,9 @@
 // Row returns the newest known row.
 func (t *Tenure) Row() Row { return t.row }
 
-// Age returns the time since the newest confirmed write of this start was begun.
-func (t *Tenure) Age(now time.Duration) time.Duration { return now - t.leasedAt }
+// Age returns the time since the newest confirmed write of this start was begun, and false if
+// the tenure is not that of this start.
+func (t *Tenure) Age(now time.Duration) (time.Duration, bool) { return now - t.leasedAt, t.leased }
 
 // Holds reports whether a call that takes up to the given time may be sent now.
 func (t *Tenure) Holds(now, longest time.Duration) bool {
@@ -172,34 +177,40 @@
 // Next returns the step that is due. The rank is the number of live instances that come
 // before this one when a new holder is sought.
 func (t *Tenure) Next(now time.Duration, rank int) Step {
+	t.rank = rank
+	step := Step{}
 	switch {
 	case now < t.retryAt:
 		return Step{}
 	case !t.known || t.stale:
 		return t.read(now)
-	case t.own() && t.leaving && t.calls > 0:
-		return Step{}
-	case t.own() && t.leaving:
-		r := t.row.Record
-		r.Released = true
-		r.Token = t.row.Token()
-		return t.write(now, r)
 	case t.own():
-		if t.leased && now-t.leasedAt < t.Terms.Renewal {
-			return Step{}
-		}
-		if t.mayRenew(now) {
-			return t.renew(now)
-		}
+		step = t.nextOwn(now)
 	case now >= t.abstainTo && now >= t.takeAt(rank):
 		t.leaving = false
 		t.tookAt = now
-		return t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
+		step = t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
 	}
-	if now-t.asked >= readInterval(rank) {
+	if step.Kind == Wait && !t.leased && now-t.asked >= readInterval(rank) {
 		return t.read(now)
 	}
-	return Step{}
+	return step
+}
+
+// nextOwn returns the step that is due while the row is of this start.
+func (t *Tenure) nextOwn(now time.Duration) Step {
+	switch {
+	case t.leaving && t.calls > 0:
+		return Step{}
+	case t.leaving:
+		r := t.row.Record
+		r.Released = true
+		r.Token = t.row.Token()
+		return t.write(now, r)
+	case t.leased && now-t.leasedAt < t.Terms.Renewal, !t.mayRenew(now):
+		return Step{}
+	}
+	return t.renew(now)
 }
 
 func readInterval(rank int) time.Duration {
@@ -280,6 +291,7 @@
 // LearnRow takes the row as it was read. Rows older than the known one are ignored.
 func (t *Tenure) LearnRow(now time.Duration, r Row) {
 	t.stale = false
+	t.failures = 0
 	if t.known && r.Version < t.row.Version {
 		return
 	}
@@ -307,9 +319,9 @@
 	if !t.known || r.Version < t.row.Version {
 		return
 	}
-	stale := t.stale
+	stale, failures := t.stale, t.failures
 	t.LearnRow(now, r)
-	t.stale = stale
+	t.stale, t.failures = stale, failures
 	t.asked = now
 }
 
@@ -319,10 +331,14 @@
 }
 
 // Conflict takes the news that the row has another version than a write expected.
-func (t *Tenure) Conflict(time.Duration) { t.stale = true }
+func (t *Tenure) Conflict() {
+	t.stale = true
+	t.failures = 0
+}
 
-// Fail takes the news that a step has failed or that its outcome is not known.
-func (t *Tenure) Fail(now time.Duration, s Step) {
-	t.retryAt = now + retryInterval
-	t.stale = t.stale || s.Kind == Write
+// Fail takes the news that a step has failed or that its outcome is not known. A write is
+// then tried again as it was: if it took effect after all, the row has another version.
+func (t *Tenure) Fail(now time.Duration, _ Step) {
+	t.retryAt = now + min(minRetry<<min(t.failures, 16), max(maxRetry, readInterval(t.rank)))
+	t.failures++
 }
