node/exchange: the second instance records a completion a quarter of a second after the first

Cause: rollout-completion shows that all conditions held 0.77 s before the deadline. The store refused the write of the first instance (status 429, the store rejects some instances then), which tried again after 0.6 s; the second waited 0.6 s for the first. Change: for a completion, which only the instances that collect reports write, each rank waits 0.25 s. Measured: TestCompletionIsRecordedInTimeDespiteRefusals fails before ("running != completed") and passes after.

--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -25,6 +25,9 @@
 	// rankDelay is the additional time that each rank waits before it writes a
 	// record which the instance of the rank before has not written.
 	rankDelay = 600 * time.Millisecond
+	// completionRankDelay is the same for the record of a completion, which is written shortly
+	// before the order's deadline, by the instances that collect reports only.
+	completionRankDelay = 250 * time.Millisecond
 	// recordWriteTimeout bounds one write of a record.
 	recordWriteTimeout = 800 * time.Millisecond
 	// collectorCount is the number of instances to which an instance reports.
@@ -346,15 +349,19 @@
 		return // a final state is never replaced
 	}
 	now := time.Now()
+	delay := rankDelay
+	if check.wantState == trial.Completed {
+		delay = completionRankDelay
+	}
 	due, ok := c.writeDue[key]
 	if !ok {
-		due = now.Add(time.Duration(check.rank) * rankDelay)
+		due = now.Add(time.Duration(check.rank) * delay)
 		c.writeDue[key] = due
 	}
 	if now.Before(due) {
 		return
 	}
-	c.writeDue[key] = now.Add(rankDelay)
+	c.writeDue[key] = now.Add(delay)
 	record := RolloutRecord{State: check.wantState, To: check.order.To, Revision: check.order.Revision, Version: check.storedRecord.Version}
 	callCtx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
--- a/node/exchange/records_test.go
+++ b/node/exchange/records_test.go
@@ -24,6 +24,7 @@
 	coordinators []*RolloutCoordinator
 	random       *rand.Rand
 	isolated     int // index of the instance whose messages are lost; -1 for none
+	refused      int // index of the instance whose writes the store refuses; -1 for none
 
 	mu     sync.Mutex
 	record RolloutRecord // guarded by mu
@@ -34,8 +35,13 @@
 	maxGroupDelay      = 300 * time.Millisecond // of a message
 )
 
-func newRolloutGroup(ctx context.Context, t *testing.T, instances int, seed uint64) *rolloutGroup {
-	g := &rolloutGroup{random: rand.New(rand.NewPCG(seed, 41)), isolated: -1}
+func newRolloutGroup(t *testing.T, instances int, seed uint64) *rolloutGroup {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(4 * maxGroupDelay) // what is under way ends
+	})
+	g := &rolloutGroup{random: rand.New(rand.NewPCG(seed, 41)), isolated: -1, refused: -1}
 	var members []member.Status
 	for i := range instances {
 		members = append(members, member.Status{Identity: member.Identity{Instance: fmt.Sprint(i), Address: fmt.Sprint(i)}})
@@ -46,7 +52,7 @@
 		r.WithFleet(func(now time.Time, f *placement.Fleet) {
 			f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "new", FailureDomain: "d0", Version: "v2", Slots: 4})
 		})
-		c := &RolloutCoordinator{Router: r, Records: g, Peers: groupMember{group: g, index: i}, Instance: fmt.Sprint(i)}
+		c := &RolloutCoordinator{Router: r, Records: groupMember{group: g, index: i}, Peers: groupMember{group: g, index: i}, Instance: fmt.Sprint(i)}
 		c.SetMembers(members)
 		r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: groupOrderDuration})
 		g.coordinators = append(g.coordinators, c)
@@ -62,8 +68,12 @@
 }
 
 // Write implements RecordStore.
-func (g *rolloutGroup) Write(_ context.Context, service string, r RolloutRecord) error {
+func (m groupMember) Write(_ context.Context, service string, r RolloutRecord) error {
+	g := m.group
 	time.Sleep(g.delay())
+	if m.index == g.refused {
+		return errors.New("refused")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.record.Version != r.Version {
@@ -88,7 +98,7 @@
 	}
 }
 
-// A groupMember is the PeerClient of one instance.
+// A groupMember is the PeerClient and the RecordStore of one instance.
 type groupMember struct {
 	group *rolloutGroup
 	index int
@@ -122,9 +132,7 @@
 	for seed := range uint64(40) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			g := newRolloutGroup(ctx, t, 5, seed)
+			g := newRolloutGroup(t, 5, seed)
 			time.Sleep(groupOrderDuration - 2*time.Second + time.Duration(g.random.Int64N(int64(3*time.Second))))
 			if seed%2 == 0 {
 				g.isolated = g.random.IntN(5)
@@ -148,9 +156,7 @@
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			g := newRolloutGroup(ctx, t, 5, seed)
+			g := newRolloutGroup(t, 5, seed)
 			for _, c := range g.coordinators {
 				c.Peers = reportsOnly{c.Peers.(groupMember)}
 			}
@@ -167,6 +173,20 @@
 
 func (reportsOnly) Publish(context.Context, gossip.Entry, bool) {}
 
+// TestCompletionIsRecordedInTimeDespiteRefusals lets the store refuse the writes of one
+// instance.
+func TestCompletionIsRecordedInTimeDespiteRefusals(t *testing.T) {
+	for refused := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			g := newRolloutGroup(t, 5, uint64(refused))
+			g.refused = refused
+			time.Sleep(groupOrderDuration)
+			is.Equal(g.record.State, trial.Completed)
+		})
+	}
+}
+
 // TestRecordOfAnotherOrderIsNotFollowed gives instances a record that is older than the known one.
 func TestRecordOfAnotherOrderIsNotFollowed(t *testing.T) {
 	is := is.New(t)
