core/cascade: a larger model must end in time

Cause: Escalate weighed the time to the larger model's first event against the objective, and nothing weighed the rest of its answer. A report that was on its way was dropped for the largest model, which still wrote when the deadline passed: its caller got none. Change: Forecast learns from own answers the pace of each model at present load (time between events, longest pause) and the length of answers by route, against the caller's estimate (Request.OutputHint) and the maximum. A larger model is asked only if its answer ends before the deadline with a chance that grows with the confidence of what is dropped for it, and pauses no longer than the route allows. A model that isn't asked follows the pace of the smallest one. The latency to the first event grows with the prompt. The attempt's line says what decided; a counter counts decisions by reason. Measured: TestLargerModelMustEndBeforeDeadline: 0 of 6 reports answered before, 6 now.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -24,34 +24,60 @@
 	// lostLatency is the latency, in latency objectives, that an attempt without
 	// an answer counts for. It is also the largest latency counted.
 	lostLatency = 2.0
+	// minEndChance is the least predicted chance that the answer of a larger model ends
+	// before the deadline, if the answer that is dropped for it has no confidence at all;
+	// confidentEndChance is that for minConfidence.
+	minEndChance       = 0.5
+	confidentEndChance = 0.9
 )
 
 // An Escalator decides, for one service, whether the answer of a small model is
 // delivered or a larger model is asked. The decision depends on the small
-// model's confidence, on whether the larger model can answer in time, and on
-// the load of the service: a large model takes many times the work of a small
-// one, so under overload small models serve all callers better. The zero
-// Escalator is ready to use. An Escalator is not safe for concurrent use; its
+// model's confidence, on whether the larger model can begin, go on and end in
+// time, and on the load of the service: a large model takes many times the work
+// of a small one, so under overload small models serve all callers better. The zero Escalator is ready to use. An Escalator is not safe for concurrent use; its
 // owner's mutex guards it.
 type Escalator struct {
-	pressure  float64                  // see Pressure
-	latencies map[string]time.Duration // moving averages, by kind of attempt
+	Forecast
+
+	pressure  float64            // see Pressure
+	latencies map[string]latency // by kind of attempt
+}
+
+// A latency is the moving average of the time to the first answer, and of the size of the
+// prompts, in tokens.
+type latency struct {
+	average time.Duration
+	tokens  float64
+}
+
+// An Attempt identifies attempts that are alike: the kind of request and the model.
+type Attempt struct{ Kind, Model string }
+
+// key returns the key under which latencies are kept.
+func (a Attempt) key() string {
+	if a.Model == "" {
+		return a.Kind
+	}
+	return a.Kind + "/" + a.Model
 }
 
-// RecordLatency records the time that an attempt of a kind took to its first
-// answer. objective is the latency objective, or 0 for none. small says whether
+// RecordLatency records the time that an attempt took to its first answer, with a prompt
+// of so many tokens. objective is the latency objective, or 0 for none. small says whether
 // the smallest model was asked; only then does the latency affect the pressure.
-func (e *Escalator) RecordLatency(kind string, latency, objective time.Duration, small bool) {
+func (e *Escalator) RecordLatency(a Attempt, tokens int, took, objective time.Duration, small bool) {
 	if e.latencies == nil {
-		e.latencies = map[string]time.Duration{}
+		e.latencies = map[string]latency{}
 	}
-	average, ok := e.latencies[kind]
+	l, ok := e.latencies[a.key()]
 	if !ok {
-		average = latency
+		l = latency{took, float64(tokens)}
 	}
-	e.latencies[kind] = average + time.Duration(latencyWeight*float64(latency-average))
+	l.average += time.Duration(latencyWeight * float64(took-l.average))
+	l.tokens += latencyWeight * (float64(tokens) - l.tokens)
+	e.latencies[a.key()] = l
 	if small && objective > 0 {
-		e.updatePressure(float64(latency) / float64(objective))
+		e.updatePressure(float64(took) / float64(objective))
 	}
 }
 
@@ -68,25 +94,101 @@
 // answer count as lostLatency.
 func (e *Escalator) Pressure() float64 { return e.pressure }
 
-// ExpectedLatency returns the average time to the first answer of a kind of
-// attempt, or 0 if none was observed.
-func (e *Escalator) ExpectedLatency(kind string) time.Duration { return e.latencies[kind] }
+// ExpectedLatency returns the average time to the first answer of an attempt, or 0 if none
+// was observed.
+func (e *Escalator) ExpectedLatency(a Attempt) time.Duration { return e.latencies[a.key()].average }
+
+// firstEvent returns the time to the first event that is to be expected with a prompt. It
+// grows at most as the prompt does.
+func (e *Escalator) firstEvent(a Attempt, tokens int) time.Duration {
+	l := e.latencies[a.key()]
+	expected := latencyMargin * float64(l.average)
+	if l.tokens > 0 {
+		expected *= max(1, float64(tokens)/l.tokens)
+	}
+	return time.Duration(expected)
+}
 
 // EscalateParams are the inputs to the decision whether a larger model is
 // asked.
 type EscalateParams struct {
-	Confidence       int // of the model that has answered, from 0 to 100
+	Now              time.Time
+	Kind             string   // of the request
+	Model            string   // that has answered
+	Smallest         string   // model that may answer
+	Larger           []string // models that may be asked, smallest first
+	Confidence       int      // of the model that has answered, from 0 to 100
+	PromptTokens     int
+	Length           Length
 	Elapsed          time.Duration
+	TimeLeft         time.Duration // until the deadline
 	LatencyObjective time.Duration // 0 for none
-	LargerKind       string        // kind of attempt that asks the larger model
+	GapTarget        time.Duration // longest pause between events that meets the objective; 0 for none
+}
+
+// A Reason says why a larger model is asked or not.
+type Reason string
+
+// The reasons.
+const (
+	Escalated  Reason = "escalated"
+	Confident  Reason = "confident"   // the answer is good enough
+	Strained   Reason = "strained"    // it is for the present load of the service
+	BeginsLate Reason = "begins-late" // it is compared with one that begins after the objective
+	EndsLate   Reason = "ends-late"   // the larger model's answer may not end before the deadline
+	Pauses     Reason = "pauses"      // the larger model pauses too long between events
+	NoBudget   Reason = "no-budget"   // retries are used up
+)
+
+// A Decision says whether a larger model is asked, and what decided.
+type Decision struct {
+	From     string // model that has answered
+	Model    string // to ask; empty to deliver the answer
+	Reason   Reason
+	Required float64 // confidence
+	Outlook  Outlook // of the larger model considered last
+}
+
+// Escalate decides whether a larger model is asked.
+func (e *Escalator) Escalate(p EscalateParams) Decision {
+	d := Decision{From: p.Model, Required: minConfidence * min(1, max(0, (highPressure-e.pressure)/(highPressure-lowPressure)))}
+	switch confidence := float64(p.Confidence); {
+	case confidence >= minConfidence:
+		d.Reason = Confident
+	case confidence >= d.Required:
+		d.Reason = Strained
+	default:
+		return e.chooseLarger(p, d)
+	}
+	return d
+}
+
+// chooseLarger decides whether the largest model is asked.
+func (e *Escalator) chooseLarger(p EscalateParams, d Decision) Decision {
+	model := p.Larger[len(p.Larger)-1]
+	first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
+	d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
+	if d.Reason = e.unfit(p, first, d.Outlook); d.Reason == Escalated {
+		d.Model = model
+	}
+	return d
 }
 
-// Escalate reports whether the larger model is asked.
-func (e *Escalator) Escalate(p EscalateParams) bool {
-	required := minConfidence * min(1, max(0, (highPressure-e.pressure)/(highPressure-lowPressure)))
-	expected := time.Duration(latencyMargin * float64(e.latencies[p.LargerKind]))
-	if p.LatencyObjective > 0 && p.Elapsed+expected > p.LatencyObjective {
-		required = min(required, lateMinConfidence)
+// unfit returns why a larger model is not asked, or Escalated.
+func (e *Escalator) unfit(p EscalateParams, first time.Duration, o Outlook) Reason {
+	switch {
+	case p.LatencyObjective > 0 && p.Elapsed+first > p.LatencyObjective && p.Confidence >= lateMinConfidence:
+		return BeginsLate
+	case o.Chance < requiredEndChance(p.Confidence):
+		return EndsLate
+	case p.GapTarget > 0 && o.Pause > p.GapTarget:
+		return Pauses
 	}
-	return float64(p.Confidence) < required
+	return Escalated
+}
+
+// requiredEndChance returns the least chance that a larger model's answer ends before the
+// deadline: the better the answer that is dropped for it, the higher.
+func requiredEndChance(confidence int) float64 {
+	return minEndChance + (confidentEndChance-minEndChance)*float64(confidence)/minConfidence
 }
--- a/node/exchange/cascade.go
+++ b/node/exchange/cascade.go
@@ -1,9 +1,12 @@
 package exchange
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"banyanyard/core/cascade"
+	"banyanyard/io/jsonlog"
 )
 
 // shouldEscalate reports whether a larger model is to answer instead of this one.
@@ -15,20 +18,49 @@
 	if e.attempts >= e.request.Route.MaxAttempts {
 		return false
 	}
-	return e.router.escalate(e.request.Service, cascade.EscalateParams{
+	q := e.request
+	now := time.Now()
+	e.confidence = h.Confidence
+	e.decision = e.router.escalate(q.Service, cascade.EscalateParams{
+		Now:              now,
+		Kind:             q.Route.Name,
+		Model:            e.model(),
+		Smallest:         e.models[0],
+		Larger:           e.models[e.modelIndex+1:],
 		Confidence:       h.Confidence,
-		Elapsed:          time.Since(e.request.Arrived),
-		LatencyObjective: e.request.Route.LatencyObjective,
-		LargerKind:       e.request.Route.Name + "/" + e.models[len(e.models)-1],
+		PromptTokens:     q.Prompt.Tokens,
+		Length:           e.length(),
+		Elapsed:          now.Sub(q.Arrived),
+		TimeLeft:         q.Deadline.Sub(now),
+		LatencyObjective: q.Route.LatencyObjective,
+		GapTarget:        q.Route.GapTarget,
 	})
+	return e.decision.Model != ""
 }
 
-// useLargerModel makes the larger model answer the next attempt.
+// useLargerModel makes the larger model that was chosen answer the next attempt.
 func (e *execution) useLargerModel() {
-	e.modelIndex = len(e.models) - 1
+	e.modelIndex = slices.Index(e.models, e.decision.Model)
 	e.tried = nil
 }
 
+// model returns the model to ask, or "" if the caller names it.
+func (e *execution) model() string {
+	if len(e.models) == 0 {
+		return ""
+	}
+	return e.models[e.modelIndex]
+}
+
+// attemptKind returns the kind of attempt for which times are predicted.
+func (e *execution) attemptKind() cascade.Attempt {
+	return cascade.Attempt{Kind: e.request.Route.Name, Model: e.model()}
+}
+
+func (e *execution) length() cascade.Length {
+	return cascade.Length{Hint: e.request.OutputHint, Max: e.request.OutputMax}
+}
+
 // escalator returns the escalator of a service. The caller holds mu.
 func (r *Router) escalator(service string) *cascade.Escalator {
 	e := r.escalators[service]
@@ -39,20 +71,25 @@
 	return e
 }
 
-// escalate reports whether a larger model is asked. If so, the attempt counts
+// escalate decides whether a larger model is asked. If so, the attempt counts
 // against the retry budget.
-func (r *Router) escalate(service string, q cascade.EscalateParams) bool {
+func (r *Router) escalate(service string, q cascade.EscalateParams) cascade.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.escalator(service).Escalate(q) && r.retryBudget(service).Spend(time.Now())
+	d := r.escalator(service).Escalate(q)
+	if d.Model != "" && !r.retryBudget(service).Spend(time.Now()) {
+		d.Model, d.Reason = "", cascade.NoBudget
+	}
+	r.Metrics.escalations.WithLabelValues(service, string(d.Reason)).Inc()
+	return d
 }
 
-// headTimeout returns how long to wait for the head of the answer to an attempt of
-// a kind before the request is retried at another upstream.
-func (r *Router) headTimeout(service, kind string, objective time.Duration) time.Duration {
+// headTimeout returns how long to wait for the head of the answer to such an attempt
+// before the request is retried at another upstream.
+func (r *Router) headTimeout(service string, a cascade.Attempt, objective time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(time.Duration(headObjectiveFactor*float64(objective)), headLatencyFactor*r.escalator(service).ExpectedLatency(kind))
+	return max(time.Duration(headObjectiveFactor*float64(objective)), headLatencyFactor*r.escalator(service).ExpectedLatency(a))
 }
 
 // modelCosts returns the prices of a service's models by name, or nil.
@@ -62,3 +99,17 @@
 	}
 	return nil
 }
+
+// logModel logs the model of an attempt and what decided whether a larger one is asked.
+func (e *execution) logModel(line *jsonlog.Line, result attemptResult) {
+	line.Str("model", e.model()).Bool("escalated", result.escalate)
+	d := &e.decision
+	if d.Reason == "" || d.From != e.model() {
+		return
+	}
+	line.Int("confidence", int64(e.confidence)).Int("required", int64(math.Round(d.Required))).Str("decision", string(d.Reason))
+	if d.Outlook.Known {
+		line.Millis("larger-end-ms", d.Outlook.End).Float("larger-end-chance", d.Outlook.Chance).
+			Millis("larger-pause-ms", d.Outlook.Pause).Millis("larger-age-ms", d.Outlook.Age)
+	}
+}
--- /dev/null
+++ b/node/exchange/cascade_test.go
@@ -0,0 +1,105 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanyard/core/routing"
+
+	"github.com/matryer/is"
+)
+
+// A pacedAnswer is a stream whose events come at a steady pace until ctx is done.
+type pacedAnswer struct {
+	ctx    context.Context
+	head   Head
+	gap    time.Duration
+	events int
+	sent   int
+}
+
+func (a *pacedAnswer) Head() Head                                  { return a.head }
+func (a *pacedAnswer) Close()                                      {}
+func (a *pacedAnswer) ReadBody(int, time.Duration) ([]byte, error) { return nil, syscall.EINVAL }
+
+func (a *pacedAnswer) NextEvent(time.Duration) (Event, error) {
+	if a.sent == a.events {
+		return Event{}, io.EOF
+	}
+	if a.sent > 0 {
+		if err := sleep(a.ctx, a.gap); err != nil {
+			return Event{}, err
+		}
+	}
+	a.sent++
+	return Event{ID: fmt.Sprint(a.sent), Data: []byte("x")}, nil
+}
+
+// A pacedTransport answers with the least confidence for small models. Its larger model
+// takes a time for each event.
+type pacedTransport struct {
+	gap    time.Duration // of the larger model
+	events int
+}
+
+func (p *pacedTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	answer := &pacedAnswer{ctx: ctx, head: Head{Status: http.StatusOK, Confidence: 30}, gap: 90 * time.Millisecond, events: p.events}
+	wait := 200 * time.Millisecond
+	if a.Model == "large" {
+		answer.head.Confidence, answer.gap, wait = 90, p.gap, 500*time.Millisecond
+	}
+	return answer, sleep(ctx, wait)
+}
+
+// answerReports has reports of 46 events answered one after the other, by a small model and
+// one that takes a time for each event. It returns how many were answered, and by the larger
+// model, after the first one.
+func answerReports(t *testing.T, gap time.Duration) (answered, larger int) {
+	r := newTestRouter(6)
+	defer r.Log.Close()
+	r.Transport = &pacedTransport{gap: gap, events: 46}
+	route := &routing.Route{Name: "report", Kind: routing.ResumableStream, MaxAttempts: 3, LatencyObjective: 6 * time.Second, GapTarget: 1200 * time.Millisecond, Models: []string{"small", "large"}, Split: []routing.Share{{Service: "s"}}}
+	for i := range 7 {
+		now := time.Now()
+		q := &Request{ID: fmt.Sprint(i), Route: route, Service: "s", Method: http.MethodPost, Target: "/", Arrived: now, Deadline: now.Add(20 * time.Second)}
+		out := &confidenceWriter{}
+		err := r.Run(t.Context(), q, out)
+		if i > 0 && err == nil {
+			answered++
+			if out.confidence == 90 {
+				larger++
+			}
+		}
+	}
+	return answered, larger
+}
+
+// A confidenceWriter records the confidence of the answer that a caller received.
+type confidenceWriter struct {
+	fakeWriter
+	confidence int
+}
+
+func (w *confidenceWriter) BeginStream(h Head) error {
+	w.confidence = h.Confidence
+	return w.fakeWriter.BeginStream(h)
+}
+
+// TestLargerModelMustEndBeforeDeadline checks that an answer which is on its way isn't
+// dropped for a larger model that still writes when the deadline of 20 s passes.
+func TestLargerModelMustEndBeforeDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		answered, _ := answerReports(t, 448*time.Millisecond)
+		is.Equal(answered, 6)
+		answered, larger := answerReports(t, 150*time.Millisecond)
+		is.Equal(answered, 6)
+		is.Equal(larger, 6) // it is asked where it ends in time
+	})
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -77,6 +77,8 @@
 	Session      string // empty if the request belongs to none
 	Prompt       Prompt
 	LastEventID  string // last event that the caller has received; empty if none
+	OutputHint   int    // the caller's estimate of the tokens of the answer; 0 for none
+	OutputMax    int    // tokens that the answer may have; 0 for no bound
 	// CallerModel is true if the caller named the model.
 	CallerModel bool
 }
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -21,6 +21,7 @@
 	requests    *prometheus.HistogramVec // seconds, by organisation and route
 	firstEvent  *prometheus.HistogramVec // seconds to the first event, by route
 	attempts    *prometheus.CounterVec   // by service and outcome
+	escalations *prometheus.CounterVec   // decisions on larger models, by service and reason
 	refusals    *prometheus.CounterVec   // by kind
 	connections prometheus.Counter
 	// unpublished counts entries for other instances that did not fit the queue.
@@ -38,10 +39,11 @@
 		firstEvent:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "banyanyard_first_event_seconds", Help: "Time from a request's arrival to the first event or the answer.", Buckets: latencyBuckets}, []string{"route"}),
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_attempts_total", Help: "Attempts at upstreams by outcome."}, []string{"service", "outcome"}),
 		refusals:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_refusals_total", Help: "Requests that were not answered, by kind."}, []string{"kind"}),
+		escalations: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_escalation_decisions_total", Help: "Decisions whether a larger model is asked, by reason."}, []string{"service", "reason"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_connections_opened_total", Help: "Connections opened to upstreams."}),
 		unpublished: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_entries_dropped_total", Help: "Gossip entries dropped because the queue was full."}),
 	}
-	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.refusals, m.connections, m.unpublished)
+	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.escalations, m.refusals, m.connections, m.unpublished)
 	return m
 }
 
@@ -65,7 +67,7 @@
 		line.Int("load", int64(math.Round(slot.Load))).Millis("load-age-ms", slot.LoadAge)
 	}
 	if len(e.models) > 0 {
-		line.Str("model", e.models[e.modelIndex]).Bool("escalated", result.escalate)
+		e.logModel(line, result)
 	}
 	if result.eventGap > 0 {
 		line.Millis("pace-ms", result.eventGap)
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"banyanyard/core/cascade"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
 	"banyanyard/core/suspect"
@@ -45,13 +46,6 @@
 	// Retry-After time. It is random so that callers do not retry all at once.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 700 * time.Millisecond
-	// paceSampleEvents is the number of events after the first over which the time
-	// between events is measured. Fewer events could all have been delayed by the
-	// reading of one prompt.
-	paceSampleEvents = 8
-	// minPaceSampleEvents is the number that suffices for a shorter stream at its
-	// end.
-	minPaceSampleEvents = 4
 	// minAttemptTime is the minimum time before the deadline for another attempt.
 	minAttemptTime = 20 * time.Millisecond
 )
@@ -73,9 +67,11 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
-	probe         bool           // sent despite a verdict, to find out whether it still holds
-	mayCrash      bool           // an upstream crashed when it was about to write the answer
-	cachedTraits  suspect.Traits // see traits
+	probe         bool             // sent despite a verdict, to find out whether it still holds
+	mayCrash      bool             // an upstream crashed when it was about to write the answer
+	cachedTraits  suspect.Traits   // see traits
+	decision      cascade.Decision // the last one whether a larger model is asked
+	confidence    int              // of the model that answered before decision
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -240,7 +236,7 @@
 		a.Model = e.models[e.modelIndex]
 	}
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
-		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.kind(), e.request.Route.LatencyObjective))
+		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
 	}
 	e.router.takeTurn(e)
 	ctx = e.router.crashes.begin(ctx, e, &slot.Upstream)
@@ -335,36 +331,24 @@
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
 	gapTimeout := time.Duration(gapTargetFactor * float64(e.request.Route.GapTarget))
-	var sampleStart, lastEvent time.Time
-	var eventGap time.Duration
-	for events := 0; ; events++ {
+	meter := newSpanMeter(e, slot)
+	for {
 		event, err := answer.NextEvent(gapTimeout)
 		if errors.Is(err, io.EOF) {
-			if events > minPaceSampleEvents && events <= paceSampleEvents {
-				eventGap = lastEvent.Sub(sampleStart) / time.Duration(events-1)
-				e.router.recordEventGap(e, slot, eventGap)
-			}
+			meter.end(false)
 			result := e.endStream(answer.Head())
-			result.eventGap = eventGap
+			result.eventGap = meter.firstGap
 			return result
 		}
 		if err != nil {
+			meter.end(true)
 			result := e.classifyReadError(ctx, err)
-			if events > 0 {
-				result.writing = time.Since(sampleStart)
-			}
+			result.writing = meter.writing()
 			return result
 		}
-		if events <= paceSampleEvents {
-			lastEvent = time.Now()
-		}
-		switch events {
-		case 0:
-			sampleStart = lastEvent
+		meter.add(time.Now())
+		if meter.events == 1 {
 			e.router.crashes.markWriting(e)
-		case paceSampleEvents:
-			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
-			e.router.recordEventGap(e, slot, eventGap)
 		}
 		if err := e.writeEvent(answer.Head(), event); err != nil {
 			return attemptResult{outcome: placement.Canceled, err: err}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -242,7 +242,7 @@
 	q := e.request
 	switch {
 	case result.firstEvent > 0:
-		r.escalator(q.Service).RecordLatency(e.kind(), result.firstEvent, q.Route.LatencyObjective, e.modelIndex == 0)
+		r.escalator(q.Service).RecordLatency(e.attemptKind(), q.Prompt.Tokens, result.firstEvent, q.Route.LatencyObjective, e.modelIndex == 0)
 	case (result.outcome == placement.Broken || result.outcome == placement.Silent) && result.status == 0:
 		r.escalator(q.Service).RecordLoss()
 	}
