--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -46,13 +46,6 @@
 	// Retry-After time. It is random so that callers do not retry all at once.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 700 * time.Millisecond
-	// paceSampleEvents is the number of events after the first over which the time
-	// between events is measured. Fewer events could all have been delayed by the
-	// reading of one prompt.
-	paceSampleEvents = 8
-	// minPaceSampleEvents is the number that suffices for a shorter stream at its
-	// end.
-	minPaceSampleEvents = 4
 	// minAttemptTime is the minimum time before the deadline for another attempt.
 	minAttemptTime = 20 * time.Millisecond
 )
@@ -74,10 +67,12 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
-	probe         bool           // sent despite a verdict, to find out whether it still holds
-	mayCrash      bool           // an upstream crashed when it was about to write the answer
-	cachedTraits  suspect.Traits // see traits
-	usageCounted  bool           // see countUsage
+	probe         bool             // sent despite a verdict, to find out whether it still holds
+	mayCrash      bool             // an upstream crashed when it was about to write the answer
+	cachedTraits  suspect.Traits   // see traits
+	usageCounted  bool             // see countUsage
+	decision      cascade.Decision // the last one whether a larger model is asked
+	confidence    int              // of the model that answered before decision
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -242,7 +237,7 @@
 		a.Model = e.models[e.modelIndex]
 	}
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
-		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.kind(), e.request.Route.LatencyObjective))
+		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
 	}
 	e.router.takeTurn(e)
 	ctx = e.router.crashes.begin(ctx, e, &slot.Upstream)
@@ -338,37 +333,25 @@
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
 	gapTimeout := time.Duration(gapTargetFactor * float64(e.request.Route.GapTarget))
-	var sampleStart, lastEvent time.Time
-	var eventGap time.Duration
-	for events := 0; ; events++ {
+	meter := newSpanMeter(e, slot)
+	for {
 		event, err := answer.NextEvent(gapTimeout)
 		if errors.Is(err, io.EOF) {
-			if events > minPaceSampleEvents && events <= paceSampleEvents {
-				eventGap = lastEvent.Sub(sampleStart) / time.Duration(events-1)
-				e.router.recordEventGap(e, slot, eventGap)
-			}
+			meter.end(false)
 			result := e.endStream(answer.Head())
-			result.eventGap = eventGap
+			result.eventGap = meter.firstGap
 			return result
 		}
 		if err != nil {
+			meter.end(true)
 			result := e.classifyReadError(ctx, err)
-			if events > 0 {
-				result.writing = time.Since(sampleStart)
-			}
+			result.writing = meter.writing()
 			return result
 		}
-		if events <= paceSampleEvents {
-			lastEvent = time.Now()
-		}
-		switch events {
-		case 0:
-			sampleStart = lastEvent
+		meter.add(time.Now())
+		if meter.events == 1 {
 			e.countUsage()
 			e.router.crashes.markWriting(e)
-		case paceSampleEvents:
-			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
-			e.router.recordEventGap(e, slot, eventGap)
 		}
 		if err := e.writeEvent(answer.Head(), event); err != nil {
 			return attemptResult{outcome: placement.Canceled, err: err}
@@ -403,23 +386,6 @@
 	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.EndStream()}
 }
 
-// shouldEscalate reports whether a larger model is to answer instead of this one.
-// That is possible only before the caller has received anything.
-func (e *execution) shouldEscalate(h Head) bool {
-	if e.streamBegun.Load() || e.modelIndex >= len(e.models)-1 || h.Confidence < 0 || !e.request.Route.Kind.Repeatable() {
-		return false
-	}
-	if e.attempts >= e.request.Route.MaxAttempts {
-		return false
-	}
-	return e.router.escalate(e.request.Service, cascade.EscalateParams{
-		Confidence:       h.Confidence,
-		Elapsed:          time.Since(e.request.Arrived),
-		LatencyObjective: e.request.Route.LatencyObjective,
-		LargerKind:       e.request.Route.Name + "/" + e.models[len(e.models)-1],
-	})
-}
-
 // prepareRetry prepares the next attempt and returns nil, or returns the reason why
 // there is none.
 func (e *execution) prepareRetry(ctx context.Context, result attemptResult) error {
@@ -427,8 +393,7 @@
 		e.mayHaveRun = true
 	}
 	if result.escalate {
-		e.modelIndex = len(e.models) - 1
-		e.tried = nil
+		e.useLargerModel()
 		return nil
 	}
 	kind := e.request.Route.Kind
