node/duty: fewer reads of the record, and fewer reports in large deployments

Cause: the first instances in the ranking read the record between renewals although they had heard of it, and all read it when they start; a collector of a thousand instances would get a thousand reports a second. Change: what the holder itself says counts as news even if nothing changed; an instance that is not first waits before its first read; the report interval grows with the instances, up to 4 s. The longest call is a third of the lease.

--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -43,7 +43,7 @@
 // after it has not acted for the given time.
 func NewTerms(apart time.Duration) Terms {
 	lease := apart * 3 / 2
-	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 2, Call: lease / 4}
+	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 2, Call: lease / 3}
 }
 
 // wait is how long a successor watches a record that does not change.
@@ -113,6 +113,8 @@
 	Start    string // unique for each start
 	Terms    Terms
 
+	started   bool          // began is set
+	began     time.Duration // when Next was first called
 	row       Row
 	known     bool          // row has been read
 	seen      time.Duration // when this version of row was first seen
@@ -178,11 +180,20 @@
 // before this one when a new holder is sought.
 func (t *Tenure) Next(now time.Duration, rank int) Step {
 	t.rank = rank
+	if !t.started {
+		t.started, t.began = true, now
+	}
 	step := Step{}
 	switch {
 	case now < t.retryAt:
 		return Step{}
-	case !t.known || t.stale:
+	case t.stale:
+		return t.read(now)
+	case !t.known:
+		// Others may tell of the row before.
+		if rank > 0 && now-t.began < readInterval(rank) {
+			return Step{}
+		}
 		return t.read(now)
 	case t.own():
 		step = t.nextOwn(now)
@@ -314,9 +325,10 @@
 	}
 }
 
-// Hear takes the row as another instance knows it.
+// Hear takes the row as another instance knows it, either newer than it is known here or from
+// the holder itself.
 func (t *Tenure) Hear(now time.Duration, r Row) {
-	if !t.known || r.Version < t.row.Version {
+	if t.known && r.Version < t.row.Version {
 		return
 	}
 	stale, failures := t.stale, t.failures
--- a/node/duty/runner.go
+++ b/node/duty/runner.go
@@ -232,10 +232,10 @@
 // Row returns the newest known record of the tenure, or nil. It may be called concurrently.
 func (r *Runner) Row() *duty.Row { return r.row.Load() }
 
-// Hear takes the record as another instance knows it, so that the store need not be asked.
-// It may be called concurrently.
-func (r *Runner) Hear(ctx context.Context, row duty.Row) {
-	if known := r.Row(); known == nil || known.Version < row.Version {
+// Hear takes the record as another start of an instance knows it, so that the store need not
+// be asked. It may be called concurrently.
+func (r *Runner) Hear(ctx context.Context, start string, row duty.Row) {
+	if known := r.Row(); known == nil || known.Version < row.Version || start == row.Record.Start {
 		r.enqueue(ctx, func(context.Context) { r.tenure.Hear(r.now(), row) })
 	}
 }
--- a/node/duty/usage.go
+++ b/node/duty/usage.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -26,9 +25,12 @@
 	// DutyUsage is the duty of reporting usage. The body of its calls is a usage.Window.
 	DutyUsage = "usage"
 
-	// reportInterval is the time between two reports of an instance to others. What it has
-	// counted since the last one is lost with it.
-	reportInterval = time.Second
+	// minReportInterval is the time between two reports of an instance to others. What it has
+	// counted since the last one is lost with it. In large deployments it is longer, up to
+	// maxReportInterval, so that a collector gets about reportRate reports a second.
+	minReportInterval = time.Second
+	maxReportInterval = 4 * time.Second
+	reportRate        = 100
 	// collectors is the number of instances that are reported to besides the holder: the
 	// first ones in the ranking, of which one succeeds it.
 	collectors = 2
@@ -52,7 +54,7 @@
 // A Tenure is what instances tell each other of the tenure: a Runner.
 type Tenure interface {
 	Row() *duty.Row // nil if not known
-	Hear(ctx context.Context, row duty.Row)
+	Hear(ctx context.Context, start string, row duty.Row)
 }
 
 // Usage counts what begins to run at upstreams, adds it up over all instances, and is the
@@ -131,18 +133,21 @@
 	u.mu.Lock()
 	u.work = ctx
 	u.mu.Unlock()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		began := time.Now()
 		u.ReportToOthers(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+		// The context's end also ends the loop.
+		_ = sleep(ctx, time.Until(began.Add(u.reportInterval())))
 	}
 }
 
+func (u *Usage) reportInterval() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	interval := time.Duration(len(u.members)) * time.Second / reportRate
+	return min(max(interval, minReportInterval), maxReportInterval)
+}
+
 // ReportToOthers reports to the instances that add up, and returns once they have answered.
 func (u *Usage) ReportToOthers(ctx context.Context) {
 	u.mu.Lock()
@@ -209,7 +214,7 @@
 		return
 	}
 	if answer.Tenure != nil {
-		u.Tenure.Hear(ctx, *answer.Tenure)
+		u.Tenure.Hear(ctx, answer.Start, *answer.Tenure)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -382,6 +387,6 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return errors.Join(context.Cause(ctx), ctx.Err())
+		return context.Cause(ctx)
 	}
 }
