--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -26,8 +26,9 @@
 	// record which the instance of the rank before has not written.
 	rankDelay = 600 * time.Millisecond
 	// completionRankDelay is the same for the record of a completion, which is written shortly
-	// before the order's deadline, by the instances that collect reports only.
-	completionRankDelay = 250 * time.Millisecond
+	// before the order's deadline, by the instances that collect reports only. It is less than
+	// trialCheckInterval, so that the next check writes.
+	completionRankDelay = 200 * time.Millisecond
 	// recordWriteTimeout bounds one write of a record.
 	recordWriteTimeout = 800 * time.Millisecond
 	// collectorCount is the number of instances to which an instance reports.
