core/cascade: the smallest larger model that is expected to suffice

Cause: routes have three models, and an answer that fell short was always made again by the largest, also where little was missing: ten times the work of the smallest, where the middle one takes a quarter of that. Change: the difference between the confidences of two models in answers to one request is learnt (it is the same for all requests). A model between is asked if its expected confidence reaches what is required without strain; until one has been seen it is tried where less than 15 points are missing. If its own confidence then falls short, the next larger is asked as before.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -29,19 +29,28 @@
 	// confidentEndChance is that for minConfidence.
 	minEndChance       = 0.5
 	confidentEndChance = 0.9
+	// stepWeight is the weight of the newest difference between the confidences of two
+	// models in a moving average.
+	stepWeight = 0.1
+	// trialStep is the difference between the confidences of a model that is not the
+	// largest and the smaller one that is assumed as long as none was seen.
+	trialStep = 15
 )
 
 // An Escalator decides, for one service, whether the answer of a small model is
 // delivered or a larger model is asked. The decision depends on the small
 // model's confidence, on whether the larger model can begin, go on and end in
 // time, and on the load of the service: a large model takes many times the work
-// of a small one, so under overload small models serve all callers better. The zero Escalator is ready to use. An Escalator is not safe for concurrent use; its
+// of a small one, so under overload small models serve all callers better. Of the
+// larger models the smallest is asked whose confidence is expected to suffice.
+// The zero Escalator is ready to use. An Escalator is not safe for concurrent use; its
 // owner's mutex guards it.
 type Escalator struct {
 	Forecast
 
 	pressure  float64            // see Pressure
 	latencies map[string]latency // by kind of attempt
+	steps     map[step]*moments  // differences between the confidences of two models
 }
 
 // A latency is the moving average of the time to the first answer, and of the size of the
@@ -51,6 +60,9 @@
 	tokens  float64
 }
 
+// A step leads from a model to a larger one.
+type step struct{ from, to string }
+
 // An Attempt identifies attempts that are alike: the kind of request and the model.
 type Attempt struct{ Kind, Model string }
 
@@ -109,6 +121,30 @@
 	return time.Duration(expected)
 }
 
+// RecordStep records the confidences of two models in their answers to one request.
+func (e *Escalator) RecordStep(from, to string, before, after int) {
+	if before <= 0 || after >= 100 {
+		return // the difference is cut off
+	}
+	if e.steps == nil {
+		e.steps = map[step]*moments{}
+	}
+	m := e.steps[step{from, to}]
+	if m == nil {
+		m = &moments{mean: trialStep, deviation: trialStep}
+		e.steps[step{from, to}] = m
+	}
+	m.add(float64(after-before), stepWeight)
+}
+
+// expectedConfidence returns the confidence that a larger model is expected to have.
+func (e *Escalator) expectedConfidence(from, to string, confidence int) float64 {
+	if m := e.steps[step{from, to}]; m != nil {
+		return float64(confidence) + m.mean
+	}
+	return float64(confidence) + trialStep
+}
+
 // EscalateParams are the inputs to the decision whether a larger model is
 // asked.
 type EscalateParams struct {
@@ -163,19 +199,24 @@
 	return d
 }
 
-// chooseLarger decides whether the largest model is asked.
+// chooseLarger decides which larger model is asked, if one serves.
 func (e *Escalator) chooseLarger(p EscalateParams, d Decision) Decision {
-	model := p.Larger[len(p.Larger)-1]
-	first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
-	d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
-	if d.Reason = e.unfit(p, first, d.Outlook); d.Reason == Escalated {
-		d.Model = model
+	for i, model := range p.Larger {
+		first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
+		if i < len(p.Larger)-1 && e.expectedConfidence(p.Model, model, p.Confidence) < minConfidence {
+			continue
+		}
+		d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
+		if d.Reason = e.unfit(p, model, first, d.Outlook); d.Reason == Escalated {
+			d.Model = model
+			return d
+		}
 	}
 	return d
 }
 
 // unfit returns why a larger model is not asked, or Escalated.
-func (e *Escalator) unfit(p EscalateParams, first time.Duration, o Outlook) Reason {
+func (e *Escalator) unfit(p EscalateParams, model string, first time.Duration, o Outlook) Reason {
 	switch {
 	case p.LatencyObjective > 0 && p.Elapsed+first > p.LatencyObjective && p.Confidence >= lateMinConfidence:
 		return BeginsLate
--- a/core/cascade/escalator_test.go
+++ b/core/cascade/escalator_test.go
@@ -140,3 +140,22 @@
 	longer, _ := f.events("report", Length{})
 	is.True(longer > events)
 }
+
+// TestMiddleModelNearTarget checks that the smallest of the larger models is asked that is
+// expected to be confident enough.
+func TestMiddleModelNearTarget(t *testing.T) {
+	is := is.New(t)
+	var e Escalator
+	ask := func(confidence int) string {
+		return e.Escalate(EscalateParams{Kind: "report", Model: "small", Larger: []string{"middle", "large"}, Confidence: confidence}).Model
+	}
+	is.Equal(ask(45), "middle") // unknown, so it is tried where little is missing
+	is.Equal(ask(20), "large")
+	for range 100 {
+		e.RecordStep("small", "middle", 40, 50)
+		e.RecordStep("small", "middle", 0, 40)   // not known how much more
+		e.RecordStep("small", "middle", 60, 100) // the same
+	}
+	is.Equal(ask(42), "middle")
+	is.Equal(ask(38), "large")
+}
--- a/node/exchange/cascade.go
+++ b/node/exchange/cascade.go
@@ -61,6 +61,17 @@
 	return cascade.Length{Hint: e.request.OutputHint, Max: e.request.OutputMax}
 }
 
+// recordStep records the confidence of a larger model that has been asked.
+func (e *execution) recordStep(h Head) {
+	if e.decision.Model == "" || h.Confidence < 0 || e.streamBegun.Load() {
+		return
+	}
+	r := e.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.escalator(e.request.Service).RecordStep(e.decision.From, e.model(), e.confidence, h.Confidence)
+}
+
 // escalator returns the escalator of a service. The caller holds mu.
 func (r *Router) escalator(service string) *cascade.Escalator {
 	e := r.escalators[service]
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -327,6 +327,7 @@
 // relayStream relays events until the stream ends, unless a larger model is to
 // answer instead.
 func (e *execution) relayStream(ctx context.Context, answer Answer, slot *placement.Slot) attemptResult {
+	e.recordStep(answer.Head())
 	if e.shouldEscalate(answer.Head()) {
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
