node/exchange: a retry asks a larger model only if that still ends

Cause: a request whose larger model broke before its first event was sent to the larger model again, however little time was left. Change: the retry goes to the smallest model if the larger one's predicted end comes too late.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -228,6 +228,13 @@
 	return Escalated
 }
 
+// EndsInTime reports whether the answer of a model that is to be asked again still ends
+// before the deadline. Confidence is that of the answer that was dropped for it.
+func (e *Escalator) EndsInTime(p EscalateParams, model string) bool {
+	first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
+	return e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft).Chance >= requiredEndChance(p.Confidence)
+}
+
 // requiredEndChance returns the least chance that a larger model's answer ends before the
 // deadline: the better the answer that is dropped for it, the higher.
 func requiredEndChance(confidence int) float64 {
--- a/node/exchange/cascade.go
+++ b/node/exchange/cascade.go
@@ -18,24 +18,28 @@
 	if e.attempts >= e.request.Route.MaxAttempts {
 		return false
 	}
+	e.confidence = h.Confidence
+	e.decision = e.router.escalate(e.request.Service, e.escalateParams())
+	return e.decision.Model != ""
+}
+
+func (e *execution) escalateParams() cascade.EscalateParams {
 	q := e.request
 	now := time.Now()
-	e.confidence = h.Confidence
-	e.decision = e.router.escalate(q.Service, cascade.EscalateParams{
+	return cascade.EscalateParams{
 		Now:              now,
 		Kind:             q.Route.Name,
 		Model:            e.model(),
 		Smallest:         e.models[0],
 		Larger:           e.models[e.modelIndex+1:],
-		Confidence:       h.Confidence,
+		Confidence:       e.confidence,
 		PromptTokens:     q.Prompt.Tokens,
-		Length:           e.length(),
+		Length:           cascade.Length{Hint: q.OutputHint, Max: q.OutputMax},
 		Elapsed:          now.Sub(q.Arrived),
 		TimeLeft:         q.Deadline.Sub(now),
 		LatencyObjective: q.Route.LatencyObjective,
 		GapTarget:        q.Route.GapTarget,
-	})
-	return e.decision.Model != ""
+	}
 }
 
 // useLargerModel makes the larger model that was chosen answer the next attempt.
@@ -44,6 +48,20 @@
 	e.tried = nil
 }
 
+// reconsiderModel makes the smallest model answer the next attempt if the larger one that
+// was asked cannot end in time any more.
+func (e *execution) reconsiderModel() {
+	if e.modelIndex == 0 || e.streamBegun.Load() {
+		return
+	}
+	r := e.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.escalator(e.request.Service).EndsInTime(e.escalateParams(), e.model()) {
+		e.modelIndex = 0
+	}
+}
+
 // model returns the model to ask, or "" if the caller names it.
 func (e *execution) model() string {
 	if len(e.models) == 0 {
@@ -57,10 +75,6 @@
 	return cascade.Attempt{Kind: e.request.Route.Name, Model: e.model()}
 }
 
-func (e *execution) length() cascade.Length {
-	return cascade.Length{Hint: e.request.OutputHint, Max: e.request.OutputMax}
-}
-
 // recordStep records the confidence of a larger model that has been asked.
 func (e *execution) recordStep(h Head) {
 	if e.decision.Model == "" || h.Confidence < 0 || e.streamBegun.Load() {
--- a/node/exchange/cascade_test.go
+++ b/node/exchange/cascade_test.go
@@ -44,8 +44,9 @@
 // A pacedTransport answers with the least confidence for small models. Its larger model
 // takes a time for each event.
 type pacedTransport struct {
-	gap    time.Duration // of the larger model
-	events int
+	gap      time.Duration // of the larger model
+	events   int
+	breaksAt time.Duration // after which the larger model breaks before its first event; 0 for never
 }
 
 func (p *pacedTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
@@ -53,17 +54,19 @@
 	wait := 200 * time.Millisecond
 	if a.Model == "large" {
 		answer.head.Confidence, answer.gap, wait = 90, p.gap, 500*time.Millisecond
+		if p.breaksAt > 0 {
+			if err := sleep(ctx, p.breaksAt); err != nil {
+				return nil, err
+			}
+			return nil, errFakeBroken
+		}
 	}
 	return answer, sleep(ctx, wait)
 }
 
-// answerReports has reports of 46 events answered one after the other, by a small model and
-// one that takes a time for each event. It returns how many were answered, and by the larger
-// model, after the first one.
-func answerReports(t *testing.T, gap time.Duration) (answered, larger int) {
-	r := newTestRouter(6)
-	defer r.Log.Close()
-	r.Transport = &pacedTransport{gap: gap, events: 46}
+// answerReports has reports of 46 events answered one after the other by two models. It
+// returns how many were answered, and by the larger model, after the first one.
+func answerReports(t *testing.T, r *Router) (answered, larger int) {
 	route := &routing.Route{Name: "report", Kind: routing.ResumableStream, MaxAttempts: 3, LatencyObjective: 6 * time.Second, GapTarget: 1200 * time.Millisecond, Models: []string{"small", "large"}, Split: []routing.Share{{Service: "s"}}}
 	for i := range 7 {
 		now := time.Now()
@@ -96,10 +99,30 @@
 func TestLargerModelMustEndBeforeDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		answered, _ := answerReports(t, 448*time.Millisecond)
-		is.Equal(answered, 6)
-		answered, larger := answerReports(t, 150*time.Millisecond)
+		for _, gap := range []time.Duration{448 * time.Millisecond, 150 * time.Millisecond} {
+			r := newTestRouter(6)
+			defer r.Log.Close()
+			r.Transport = &pacedTransport{gap: gap, events: 46}
+			answered, larger := answerReports(t, r)
+			is.Equal(answered, 6)
+			is.Equal(larger == 6, gap == 150*time.Millisecond) // it is asked where it ends in time
+		}
+	})
+}
+
+// TestRetryAsksModelThatEnds checks that a request whose larger model breaks late is sent
+// again to the smallest one, which still ends before the deadline.
+func TestRetryAsksModelThatEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(6)
+		defer r.Log.Close()
+		transport := &pacedTransport{gap: 150 * time.Millisecond, events: 46}
+		r.Transport = transport
+		answerReports(t, r)
+		transport.breaksAt = 14 * time.Second
+		answered, larger := answerReports(t, r)
 		is.Equal(answered, 6)
-		is.Equal(larger, 6) // it is asked where it ends in time
+		is.Equal(larger, 0)
 	})
 }
--- a/node/exchange/pace.go
+++ b/node/exchange/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"banyanyard/core/cascade"
 	"banyanyard/core/placement"
 )
 
@@ -77,7 +78,7 @@
 	}
 	e.router.mu.Lock()
 	defer e.router.mu.Unlock()
-	e.router.escalator(e.request.Service).RecordLength(e.request.Route.Name, e.length(), m.events, cut)
+	e.router.escalator(e.request.Service).RecordLength(e.request.Route.Name, cascade.Length{Hint: e.request.OutputHint, Max: e.request.OutputMax}, m.events, cut)
 }
 
 // writing returns the time since the first event, or 0 before it.
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -413,6 +413,7 @@
 	if !e.router.spendRetry(e.request.Service) {
 		return result.err
 	}
+	e.reconsiderModel()
 	if result.upstreamLost {
 		// An attempt at an upstream that became unreachable doesn't count.
 		e.attempts--
