--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -329,6 +329,7 @@
 // relayStream relays events until the stream ends, unless a larger model is to
 // answer instead.
 func (e *execution) relayStream(ctx context.Context, answer Answer, slot *placement.Slot) attemptResult {
+	e.recordStep(answer.Head())
 	if e.shouldEscalate(answer.Head()) {
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
@@ -415,6 +416,7 @@
 	if !e.router.spendRetry(e.request.Service) {
 		return result.err
 	}
+	e.reconsiderModel()
 	if result.upstreamLost {
 		// An attempt at an upstream that became unreachable doesn't count.
 		e.attempts--
