node/mesh: each instance learns what is asked of ordered services, by failure domain

Cause: orders for upstreams need the demand of all instances; an instance knew attempts by upstream, and only those of its own failure domain. Change: sums in the relays carry attempts, attempts without a first token, and late, refused and answered requests of services that the configuration lets the system order; the instances that lead failure domains tell each other once a second. Nothing is sent for other services.

--- a/core/load/load.go
+++ b/core/load/load.go
@@ -1,5 +1,5 @@
-// Package load adds up how many attempts run at each upstream, over the instances
-// of a failure domain.
+// Package load adds up how many attempts run at each upstream, and what is asked of each
+// service, over the instances of a failure domain.
 //
 // In a large deployment each instance runs at most one or two attempts at any
 // upstream, so its own counts do not show which upstreams are busy. Instances
@@ -23,17 +23,20 @@
 type Sum struct {
 	Instances int            `json:"instances"`         // number of instances that are added up
 	Running   map[string]int `json:"running,omitempty"` // attempts in progress by upstream; those without are omitted
+	// Demand is what is asked of the services whose upstreams are ordered.
+	Demand map[string]Demand `json:"demand,omitempty"`
 }
 
 // Plus returns the sum of two sums.
 func (s Sum) Plus(o Sum) Sum {
-	total := Sum{Instances: s.Instances + o.Instances, Running: maps.Clone(s.Running)}
+	total := Sum{Instances: s.Instances + o.Instances, Running: maps.Clone(s.Running), Demand: s.Demand}
 	if total.Running == nil {
 		total.Running = map[string]int{}
 	}
 	for id, n := range o.Running {
 		total.Running[id] += n
 	}
+	total.AddDemand(o.Demand)
 	return total
 }
 
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -94,6 +94,14 @@
 	Name       string
 	ColdRate   float64            // requests per second that a cold upstream can handle; 0 means no limit
 	ModelCosts map[string]float64 // by model, per 1,000 generated tokens; nil for a plain service
+	Scaling    *Scaling           // nil if the system does not order upstreams
+}
+
+// A Scaling says how upstreams of a service may be ordered.
+type Scaling struct {
+	Min, Max  int           // bounds on the upstreams in each failure domain; 0 < Min <= Max
+	StartTime time.Duration // from an order until an upstream serves
+	ColdTime  time.Duration // for which it is cold then
 }
 
 // An Organisation is a caller with its API keys.
--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -172,7 +172,7 @@
 		// One more than there are spreads a service without requests evenly.
 		demand := 1 + p.domains[d.Name].demand.median(now, 2*p.last.Bounds.StartTime)
 		total += demand
-		if p.usable(now, d) {
+		if p.usable(d) {
 			usable++
 			shares[d.Name] = demand
 		} else {
@@ -194,7 +194,9 @@
 func (p *Planner) age() time.Duration {
 	age := time.Duration(0)
 	for i := range p.last.Domains {
-		age = max(age, p.last.Domains[i].Age)
+		if d := &p.last.Domains[i]; !p.isLost(d) {
+			age = max(age, d.Age)
+		}
 	}
 	return age
 }
--- a/core/scaling/load.go
+++ b/core/scaling/need.go
@@ -1,5 +1,7 @@
 package scaling
 
+import "banyanyard/core/load"
+
 const (
 	// surgeLoad is the share of slots, and of the time for reading prompts, up to which
 	// upstreams still answer within the objectives.
@@ -24,7 +26,7 @@
 // Slots are one bound. Reading prompts is the other: an upstream reads them one after
 // another, so that with a share r of its time taken r/(1-r) of them are waiting or being
 // read.
-func need(d Demand, slots, serving, target float64) float64 {
+func need(d load.Demand, slots, serving, target float64) float64 {
 	if serving <= 0 || slots <= 0 {
 		return 0
 	}
@@ -32,3 +34,8 @@
 	busy := serving * reading / (1 + reading)
 	return max(float64(d.Running)/slots, busy) / target
 }
+
+// missed returns the share of requests that were late or found no room.
+func missed(d load.Demand) float64 {
+	return float64(d.Late+d.Refused) / float64(max(d.Answered+d.Refused, minAnswers))
+}
--- a/core/scaling/planner.go
+++ b/core/scaling/planner.go
@@ -1,6 +1,10 @@
 package scaling
 
-import "time"
+import (
+	"time"
+
+	"banyanyard/core/load"
+)
 
 const (
 	// maxAge is the age up to which the demand of a failure domain is used.
@@ -42,11 +46,13 @@
 		p.domains = map[string]*domainPlan{}
 	}
 	p.last, p.at = v, now
-	total, serving, domains := Demand{}, 0, 0
+	total, serving, domains := load.Demand{}, 0, 0
 	for i := range v.Domains {
 		d := &v.Domains[i]
 		p.observeDomain(now, d)
-		total = total.Plus(d.Demand)
+		if d.Age <= maxAge {
+			total = total.Plus(d.Demand)
+		}
 		if !d.Out {
 			serving += d.Serving
 		}
@@ -59,7 +65,7 @@
 	}
 	span := bucketSpan(v.Bounds.StartTime)
 	p.needs.add(now, span, need(total, v.Slots, float64(serving), targetLoad(domains)))
-	p.misses.add(now, span, total.missed())
+	p.misses.add(now, span, missed(total))
 }
 
 func (p *Planner) observeDomain(now time.Time, d *Domain) {
@@ -97,19 +103,24 @@
 	}
 }
 
-// complete reports whether the demand of all failure domains is known.
+// complete reports whether the demand of all failure domains is known. That of one that
+// has been lost comes to the others.
 func (p *Planner) complete() bool {
 	for i := range p.last.Domains {
-		if p.last.Domains[i].Age > maxAge {
+		d := &p.last.Domains[i]
+		if d.Age > maxAge && !p.isLost(d) {
 			return false
 		}
 	}
 	return len(p.last.Domains) > 0
 }
 
-// usable reports whether orders are made for the failure domain. One whose upstreams are
-// missing is lost only after a start time: registrations can lapse for a moment.
-func (p *Planner) usable(now time.Time, d *Domain) bool {
+// isLost reports whether the upstreams of the failure domain have been missing for a start
+// time: registrations can lapse for a moment.
+func (p *Planner) isLost(d *Domain) bool {
 	missing := p.domains[d.Name].missing
-	return p.runsIn(d) && !d.Out && (missing.IsZero() || now.Sub(missing) < p.last.Bounds.StartTime)
+	return !missing.IsZero() && p.at.Sub(missing) >= p.last.Bounds.StartTime
 }
+
+// usable reports whether requests can be served in the failure domain.
+func (p *Planner) usable(d *Domain) bool { return p.runsIn(d) && !d.Out && !p.isLost(d) }
--- a/core/scaling/demand.go
+++ b/core/scaling/view.go
@@ -1,31 +1,10 @@
 package scaling
 
-import "time"
+import (
+	"time"
 
-// A Demand is what instances see of the requests to one service. Demands add up.
-type Demand struct {
-	Running  int `json:"running"`            // attempts in progress
-	Reading  int `json:"reading,omitempty"`  // of those, without a first token yet
-	Answered int `json:"answered,omitempty"` // requests that were answered in the last seconds
-	Late     int `json:"late,omitempty"`     // of those, begun after their latency objective
-	Refused  int `json:"refused,omitempty"`  // requests that found no room in the same time
-}
-
-// Plus returns the sum of two demands.
-func (d Demand) Plus(o Demand) Demand {
-	return Demand{
-		Running:  d.Running + o.Running,
-		Reading:  d.Reading + o.Reading,
-		Answered: d.Answered + o.Answered,
-		Late:     d.Late + o.Late,
-		Refused:  d.Refused + o.Refused,
-	}
-}
-
-// missed returns the share of requests that were late or found no room.
-func (d Demand) missed() float64 {
-	return float64(d.Late+d.Refused) / float64(max(d.Answered+d.Refused, minAnswers))
-}
+	"banyanyard/core/load"
+)
 
 // Bounds limit the upstreams of a service in each failure domain.
 type Bounds struct {
@@ -44,7 +23,7 @@
 	Serving int           // upstreams that take requests, with those that are cold
 	Cold    int           // of those, the ones that are cold
 	Leaving int           // upstreams that leave and still run attempts
-	Demand  Demand        // as the instances of the domain see it
+	Demand  load.Demand   // as the instances of the domain see it
 	Age     time.Duration // of Demand
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -114,6 +114,9 @@
 	Age *time.Duration `json:"age,omitempty"`
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
+	// Demand is what the instances of each failure domain see of the services whose
+	// upstreams are ordered.
+	Demand []load.DomainDemand `json:"demand,omitempty"`
 }
 
 // A RowResult answers a RowUpdate.
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -99,6 +99,7 @@
 	default:
 		outcome = "not-delivered"
 	}
+	e.router.demands.recordResult(now, e, refused)
 	e.router.Metrics.requests.WithLabelValues(q.Organisation, q.Route.Name).Observe(now.Sub(q.Arrived).Seconds())
 	line := e.router.Log.Line("request").
 		Str("request", q.ID).
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -7,6 +7,7 @@
 
 	"banyanyard/core/cascade"
 	"banyanyard/core/gossip"
+	"banyanyard/core/load"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
 	"banyanyard/core/retry"
@@ -36,6 +37,7 @@
 	table    atomic.Pointer[routing.Table]
 	crashes  crashMonitor
 	stopping stopping
+	demands  demandMeter
 	outgoing chan gossip.Entry // entries to publish to the other instances
 	// upstreamsKnown is true once all registrations have been read.
 	upstreamsKnown atomic.Bool
@@ -52,6 +54,8 @@
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators  map[string]*cascade.Escalator
 	answerTimes map[string]*answerTime // guarded by mu; by route
+	// domainDemand is what the instances of each failure domain see. Guarded by mu.
+	domainDemand load.Domains
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
 	sessionLastSeen map[string]time.Time
 	// trialStops signals that the evidence has stopped a trial. Its capacity is 1:
@@ -104,6 +108,7 @@
 	for _, s := range t.Services {
 		r.fleet.SetColdRate(s.Name, s.ColdRate)
 	}
+	r.demands.setServices(t.Services)
 	r.table.Store(t)
 	if r.configuredAt.IsZero() {
 		r.configuredAt = time.Now()
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -77,6 +77,7 @@
 	probe         bool           // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool           // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits // see traits
+	reading       *demandAttempt // of the attempt in progress
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -243,6 +244,9 @@
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
 		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.kind(), e.request.Route.LatencyObjective))
 	}
+	reading := e.router.demands.begin(e.request.Service)
+	defer reading.end()
+	e.reading = reading
 	e.router.takeTurn(e)
 	ctx = e.router.crashes.begin(ctx, e, &slot.Upstream)
 	defer e.router.crashes.end(e)
@@ -381,6 +385,7 @@
 		e.streamBegun.Store(true)
 		e.firstEventAt = time.Now()
 	}
+	e.reading.begun()
 	if err := e.answerWriter.WriteEvent(event.Data); err != nil {
 		return err
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -77,6 +77,11 @@
 	RunningAttempts() map[string]int
 	// HandleLoad takes the load of the instances of this failure domain.
 	HandleLoad(l load.Sum)
+	// Demand returns what this instance sees of the services whose upstreams are ordered;
+	// nil if there are none.
+	Demand() map[string]load.Demand
+	// HandleDemand takes what the instances of each failure domain see of them.
+	HandleDemand(all []load.DomainDemand)
 }
 
 // A Mesh connects one instance to the others. Its methods are safe for concurrent
@@ -121,6 +126,8 @@
 	pullSource     int            // index of the instance that pullRows asks
 	flushScheduled bool           // flushRows is scheduled
 	loads          load.Collector
+	demands        load.Domains
+	demandShared   time.Time     // when the other failure domains were told this one's demand
 	pushScheduled  bool          // pushEntries is scheduled
 	pushed         time.Time     // when pushEntries was last called
 	urgent         []urgentEntry // oldest first
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -242,6 +242,9 @@
 }
 
 // Report implements peer.RowHandler.
-func (h handler) Report(_ context.Context, e gossip.Entry) (gossip.Entry, error) {
+func (h handler) Report(ctx context.Context, e gossip.Entry) (gossip.Entry, error) {
+	if e.Key == demandKey {
+		return gossip.Entry{}, h.learnDemand(ctx, e)
+	}
 	return h.events.HandleReport(e), nil
 }
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -333,9 +333,10 @@
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
 		Age:  ageOf(now, s.mesh.store.AsOf()),
-		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
+		Load: s.totalLoad(now, s.mesh.self.Instance),
 	}
 	s.mesh.events.HandleLoad(message.Load)
+	message.Demand = s.recordDemand(now, message.Load.Demand)
 	bundle, err := peer.NewBundle(s.unsentRows)
 	if err != nil {
 		s.mesh.log.Line("rows-not-relayed").Int("rows", int64(len(s.unsentRows))).Err(err).End()
@@ -413,7 +414,10 @@
 		}
 		s.compareIfDiffering(now, message.From, message.RareChecksum, message.FrequentChecksum, true)
 		s.mesh.events.HandleLoad(message.Load)
-		return peer.RowResult{Load: s.loads.Total(now, message.Root, s.mesh.events.RunningAttempts())}
+		if len(message.Demand) > 0 {
+			s.mesh.events.HandleDemand(message.Demand)
+		}
+		return peer.RowResult{Load: s.totalLoad(now, message.Root)}
 	})
 }
 
