core/scaling: demand is averaged, and orders wait until the load is well above the target

Cause: reports counted attempts at one moment, so that the need of a small service swung by a third; a load a few per cent above the target ordered upstreams that came too late to matter; during a roll-out the need counted upstreams that ran alongside.

--- a/core/load/demand.go
+++ b/core/load/demand.go
@@ -8,11 +8,11 @@
 
 // A Demand is what instances see of the requests to one service. Demands add up.
 type Demand struct {
-	Running  int `json:"running"`            // attempts in progress
-	Reading  int `json:"reading,omitempty"`  // of those, without a first token yet
-	Answered int `json:"answered,omitempty"` // requests that were answered in the last seconds
-	Late     int `json:"late,omitempty"`     // of those, begun after their latency objective
-	Refused  int `json:"refused,omitempty"`  // requests that found no room in the same time
+	Running  float64 `json:"running"`            // attempts in progress, on average over the last seconds
+	Reading  float64 `json:"reading,omitempty"`  // of those, without a first token yet
+	Answered int     `json:"answered,omitempty"` // requests that were answered in these seconds
+	Late     int     `json:"late,omitempty"`     // of those, begun after their latency objective
+	Refused  int     `json:"refused,omitempty"`  // requests that found no room
 }
 
 // Plus returns the sum of two demands.
--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -7,9 +7,8 @@
 
 const (
 	// raiseMargin is the share by which the need must exceed the upstreams before more
-	// are ordered, and rolloutMargin the same while a version is rolled out.
-	raiseMargin   = 0.05
-	rolloutMargin = 0.3
+	// are ordered. The load is then about halfway between the target and surgeLoad.
+	raiseMargin = 0.25
 	// maxRaise bounds what a single order asks for, as a multiple of the upstreams.
 	maxRaise = 2.0
 	// growth is the ratio of the need to that of one start time before from which on
@@ -45,7 +44,7 @@
 
 // Decide returns the orders to make now. They count as made.
 func (p *Planner) Decide(now time.Time) []Decision {
-	if !p.complete() || !p.needs.covers(now, 2*p.last.Bounds.StartTime) {
+	if !p.complete() {
 		return nil
 	}
 	var decisions []Decision
@@ -83,15 +82,17 @@
 
 // raise completes the decision and reports true if more upstreams are needed.
 func (p *Planner) raise(now time.Time, decision *Decision, share float64) bool {
-	margin := raiseMargin
-	if p.last.RollingOut {
-		margin = rolloutMargin
+	if !p.needs.covers(now, 2*p.last.Bounds.StartTime) {
+		return false
 	}
 	had := float64(decision.Had)
+	if p.last.RollingOut {
+		had = float64(max(decision.Had, decision.Serving)) // an order counts both versions
+	}
 	decision.Need = share * p.expected(now)
 	wanted := 0.0
 	switch {
-	case decision.Need > had*(1+margin):
+	case decision.Need > had*(1+raiseMargin):
 		wanted, decision.Why = math.Ceil(decision.Need), "demand-high"
 	case p.callersMiss(now, decision):
 		wanted, decision.Why = math.Ceil(had*(1+missedRaise)), "requests-late"
--- a/core/scaling/need.go
+++ b/core/scaling/need.go
@@ -30,9 +30,9 @@
 	if serving <= 0 || slots <= 0 {
 		return 0
 	}
-	reading := float64(d.Reading) / serving
+	reading := d.Reading / serving
 	busy := serving * reading / (1 + reading)
-	return max(float64(d.Running)/slots, busy) / target
+	return max(d.Running/slots, busy) / target
 }
 
 // missed returns the share of requests that were late or found no room.
--- a/core/scaling/planner.go
+++ b/core/scaling/planner.go
@@ -54,7 +54,8 @@
 			total = total.Plus(d.Demand)
 		}
 		if !d.Out {
-			serving += d.Serving
+			// Upstreams that run alongside for a roll-out take over the load of others.
+			serving += min(d.Serving, p.domains[d.Name].ordered)
 		}
 		if p.runsIn(d) {
 			domains++
@@ -80,7 +81,7 @@
 		plan.ordered = d.Serving
 	}
 	if d.Age <= maxAge {
-		plan.demand.add(now, bucketSpan(p.last.Bounds.StartTime), float64(d.Demand.Running))
+		plan.demand.add(now, bucketSpan(p.last.Bounds.StartTime), d.Demand.Running)
 	}
 }
 
--- a/node/exchange/demand.go
+++ b/node/exchange/demand.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -21,8 +22,20 @@
 }
 
 type serviceDemand struct {
-	running, reading        int
-	answered, late, refused window.Counter
+	running, reading         int
+	meanRunning, meanReading float64   // averages that forget exponentially
+	changed                  time.Time // up to when they are known
+	answered, late, refused  window.Counter
+}
+
+// advance adds the time since the last change to the averages.
+func (s *serviceDemand) advance(now time.Time) {
+	if !s.changed.IsZero() {
+		weight := 1 - math.Exp(-2*now.Sub(s.changed).Seconds()/demandSpan.Seconds())
+		s.meanRunning += weight * (float64(s.running) - s.meanRunning)
+		s.meanReading += weight * (float64(s.reading) - s.meanReading)
+	}
+	s.changed = now
 }
 
 // setServices sets the services whose requests count.
@@ -59,6 +72,7 @@
 	if s == nil {
 		return nil
 	}
+	s.advance(time.Now())
 	s.running++
 	s.reading++
 	return &demandAttempt{meter: m, service: s, reading: true}
@@ -71,6 +85,7 @@
 	}
 	a.meter.mu.Lock()
 	defer a.meter.mu.Unlock()
+	a.service.advance(time.Now())
 	a.reading = false
 	a.service.reading--
 }
@@ -83,6 +98,7 @@
 	a.begun()
 	a.meter.mu.Lock()
 	defer a.meter.mu.Unlock()
+	a.service.advance(time.Now())
 	a.service.running--
 }
 
@@ -112,9 +128,10 @@
 	}
 	all := map[string]load.Demand{}
 	for name, s := range m.services {
+		s.advance(now)
 		all[name] = load.Demand{
-			Running:  s.running,
-			Reading:  s.reading,
+			Running:  hundredths(s.meanRunning),
+			Reading:  hundredths(s.meanReading),
 			Answered: int(s.answered.Sum(now)),
 			Late:     int(s.late.Sum(now)),
 			Refused:  int(s.refused.Sum(now)),
@@ -122,3 +139,6 @@
 	}
 	return all
 }
+
+// hundredths rounds to a hundredth, which keeps reports short.
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
