--- a/core/duty/tenure.go
+++ b/core/duty/tenure.go
@@ -11,14 +11,16 @@
 	// rankDelay is how much longer an instance waits before it takes the tenure for each
 	// live instance before it in the ranking, so that few try at once.
 	rankDelay = 300 * time.Millisecond
-	// watchers is the number of instances that read the record often, every watchInterval.
-	// Others read it the more rarely the further behind they are, by idleInterval for each
-	// rank.
+	// watchers is the number of instances that read the record soon, watchInterval after
+	// they last read or heard of it. Others wait the longer the further behind they are, by
+	// idleInterval for each rank.
 	watchers      = 3
-	watchInterval = 1500 * time.Millisecond
+	watchInterval = 1600 * time.Millisecond
 	idleInterval  = 2 * time.Second
-	// retryInterval is the time from a call to the store that failed to the next one.
-	retryInterval = 300 * time.Millisecond
+	// minRetry and maxRetry bound the time from a call to the store that failed to the next
+	// one, which doubles with each further one. Instances that read rarely retry as rarely.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 2400 * time.Millisecond
 	// maxBefore bounds Record.Before.
 	maxBefore = 8
 )
@@ -41,7 +43,7 @@
 // after it has not acted for the given time.
 func NewTerms(apart time.Duration) Terms {
 	lease := apart * 3 / 2
-	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 3, Call: lease / 4}
+	return Terms{Lease: lease, Margin: lease / 10, Renewal: lease / 2, Call: lease / 4}
 }
 
 // wait is how long a successor watches a record that does not change.
@@ -64,13 +66,15 @@
 // A Row is the record as the store has it. If there is none, the record is zero, and the
 // number of the version is 0.
 type Row struct {
-	Record  Record
-	Version era.Version
+	Record  Record      `json:"record"`
+	Version era.Version `json:"version"`
 }
 
-func (r Row) exists() bool { return r.Version.Number() > 0 }
+// Exists reports whether the store has the record.
+func (r Row) Exists() bool { return r.Version.Number() > 0 }
 
-func (r Row) token() uint64 {
+// Token returns the fencing token of the record's tenure.
+func (r Row) Token() uint64 {
 	if r.Record.Token > 0 {
 		return r.Record.Token
 	}
@@ -113,10 +117,12 @@
 	known     bool          // row has been read
 	seen      time.Duration // when this version of row was first seen
 	eraSeen   time.Duration // when the era of row was first seen
-	asked     time.Duration // when the row was last read or written
+	asked     time.Duration // when the row was last read, written or heard of
 	number    uint64        // of the newest write
 	begun     map[uint64]time.Duration
 	stale     bool          // row has to be read again
+	rank      int           // as Next was last told
+	failures  int           // of calls to the store since the last that was answered
 	retryAt   time.Duration // no call to the store before this time
 	leased    bool          // a write of this start has been confirmed; leasedAt is set
 	leasedAt  time.Duration // when the newest confirmed write was begun
@@ -126,11 +132,12 @@
 	abstainTo time.Duration // no attempt to take the tenure before this time
 }
 
-// Holder returns the newest known record and its token.
-func (t *Tenure) Holder() (Record, uint64) { return t.row.Record, t.row.token() }
+// Row returns the newest known row.
+func (t *Tenure) Row() Row { return t.row }
 
-// Age returns the time since the newest confirmed write of this start was begun.
-func (t *Tenure) Age(now time.Duration) time.Duration { return now - t.leasedAt }
+// Age returns the time since the newest confirmed write of this start was begun, and false if
+// the tenure is not that of this start.
+func (t *Tenure) Age(now time.Duration) (time.Duration, bool) { return now - t.leasedAt, t.leased }
 
 // Holds reports whether a call that takes up to the given time may be sent now.
 func (t *Tenure) Holds(now, longest time.Duration) bool {
@@ -144,7 +151,7 @@
 		return 0, false
 	}
 	t.calls++
-	return t.row.token(), true
+	return t.row.Token(), true
 }
 
 // End takes the news that a call has ended, and that nothing of it is sent any more.
@@ -164,40 +171,46 @@
 func (t *Tenure) Releasing() bool { return t.leaving && t.own() }
 
 func (t *Tenure) own() bool {
-	return t.known && t.row.exists() && t.row.Record.Start == t.Start && !t.row.Record.Released
+	return t.known && t.row.Exists() && t.row.Record.Start == t.Start && !t.row.Record.Released
 }
 
 // Next returns the step that is due. The rank is the number of live instances that come
 // before this one when a new holder is sought.
 func (t *Tenure) Next(now time.Duration, rank int) Step {
+	t.rank = rank
+	step := Step{}
 	switch {
 	case now < t.retryAt:
 		return Step{}
 	case !t.known || t.stale:
 		return t.read(now)
-	case t.own() && t.leaving && t.calls > 0:
-		return Step{}
-	case t.own() && t.leaving:
-		r := t.row.Record
-		r.Released = true
-		r.Token = t.row.token()
-		return t.write(now, r)
 	case t.own():
-		if t.leased && now-t.leasedAt < t.Terms.Renewal {
-			return Step{}
-		}
-		if t.mayRenew(now) {
-			return t.renew(now)
-		}
+		step = t.nextOwn(now)
 	case now >= t.abstainTo && now >= t.takeAt(rank):
 		t.leaving = false
 		t.tookAt = now
-		return t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
+		step = t.write(now, Record{Holder: t.Instance, Start: t.Start, Before: t.holdersBefore()})
 	}
-	if now-t.asked >= readInterval(rank) {
+	if step.Kind == Wait && !t.leased && now-t.asked >= readInterval(rank) {
 		return t.read(now)
 	}
-	return Step{}
+	return step
+}
+
+// nextOwn returns the step that is due while the row is of this start.
+func (t *Tenure) nextOwn(now time.Duration) Step {
+	switch {
+	case t.leaving && t.calls > 0:
+		return Step{}
+	case t.leaving:
+		r := t.row.Record
+		r.Released = true
+		r.Token = t.row.Token()
+		return t.write(now, r)
+	case t.leased && now-t.leasedAt < t.Terms.Renewal, !t.mayRenew(now):
+		return Step{}
+	}
+	return t.renew(now)
 }
 
 func readInterval(rank int) time.Duration {
@@ -220,7 +233,7 @@
 
 func (t *Tenure) renew(now time.Duration) Step {
 	r := t.row.Record
-	r.Token = t.row.token()
+	r.Token = t.row.Token()
 	if now-t.tookAt > t.Terms.Lease {
 		r.Before = nil
 	}
@@ -231,7 +244,7 @@
 func (t *Tenure) takeAt(rank int) time.Duration {
 	delay := time.Duration(rank) * rankDelay
 	r := t.row.Record
-	firstEver := !t.row.exists()
+	firstEver := !t.row.Exists()
 	released := r.Released && len(r.Before) < maxBefore && (r.Holder == t.Instance || !slices.Contains(r.Before, t.Instance))
 	if t.row.Version.Era() == 0 && (firstEver || released) {
 		return t.seen + delay
@@ -242,7 +255,7 @@
 // holdersBefore returns Record.Before for a tenure that follows the known row.
 func (t *Tenure) holdersBefore() []string {
 	r := t.row.Record
-	if !t.row.exists() {
+	if !t.row.Exists() {
 		return nil
 	}
 	before := []string{r.Holder}
@@ -278,6 +291,7 @@
 // LearnRow takes the row as it was read. Rows older than the known one are ignored.
 func (t *Tenure) LearnRow(now time.Duration, r Row) {
 	t.stale = false
+	t.failures = 0
 	if t.known && r.Version < t.row.Version {
 		return
 	}
@@ -300,16 +314,31 @@
 	}
 }
 
+// Hear takes the row as another instance knows it.
+func (t *Tenure) Hear(now time.Duration, r Row) {
+	if !t.known || r.Version < t.row.Version {
+		return
+	}
+	stale, failures := t.stale, t.failures
+	t.LearnRow(now, r)
+	t.stale, t.failures = stale, failures
+	t.asked = now
+}
+
 // Written takes the version that a write has given the row.
 func (t *Tenure) Written(now time.Duration, s Step, version era.Version) {
 	t.LearnRow(now, Row{Record: s.Record, Version: version})
 }
 
 // Conflict takes the news that the row has another version than a write expected.
-func (t *Tenure) Conflict(time.Duration) { t.stale = true }
+func (t *Tenure) Conflict() {
+	t.stale = true
+	t.failures = 0
+}
 
-// Fail takes the news that a step has failed or that its outcome is not known.
-func (t *Tenure) Fail(now time.Duration, s Step) {
-	t.retryAt = now + retryInterval
-	t.stale = t.stale || s.Kind == Write
+// Fail takes the news that a step has failed or that its outcome is not known. A write is
+// then tried again as it was: if it took effect after all, the row has another version.
+func (t *Tenure) Fail(now time.Duration, _ Step) {
+	t.retryAt = now + min(minRetry<<min(t.failures, 16), max(maxRetry, readInterval(t.rank)))
+	t.failures++
 }
--- a/node/duty/runner.go
+++ b/node/duty/runner.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"banyanyard/core/duty"
@@ -88,8 +89,9 @@
 	asking   bool                           // a call to the store is in progress
 	subjects map[string]*subject
 	pacer    pacer
-	logged   string // the newest holder in the log
-	holds    bool   // as last logged
+	row      atomic.Pointer[duty.Row] // see Row
+	logged   string                   // the newest holder in the log
+	holds    bool                     // as last logged
 	health   callHealth
 	released chan struct{} // closed once the tenure has been given up; nil unless it is to be
 }
@@ -199,7 +201,7 @@
 		case err == nil:
 			r.tenure.Written(r.now(), s, version)
 		case errors.Is(err, ErrChanged):
-			r.tenure.Conflict(r.now())
+			r.tenure.Conflict()
 		default:
 			r.tenure.Fail(r.now(), s)
 			r.logFailure("write", s, err)
@@ -220,13 +222,32 @@
 }
 
 func (r *Runner) logFailure(call string, s duty.Step, err error) {
-	r.Log.Line("duty-store").Str("call", call).Str("expected", s.Expect.String()).Millis("lease-age-ms", r.tenure.Age(r.now())).Err(err).End()
+	line := r.Log.Line("duty-store").Str("call", call).Str("expected", s.Expect.String())
+	if age, ok := r.tenure.Age(r.now()); ok {
+		line.Millis("lease-age-ms", age)
+	}
+	line.Err(err).End()
+}
+
+// Row returns the newest known record of the tenure, or nil. It may be called concurrently.
+func (r *Runner) Row() *duty.Row { return r.row.Load() }
+
+// Hear takes the record as another instance knows it, so that the store need not be asked.
+// It may be called concurrently.
+func (r *Runner) Hear(ctx context.Context, row duty.Row) {
+	if known := r.Row(); known == nil || known.Version < row.Version {
+		r.enqueue(ctx, func(context.Context) { r.tenure.Hear(r.now(), row) })
+	}
 }
 
 // logHolder logs a new holder, and whether this instance may act.
 func (r *Runner) logHolder() {
 	now := r.now()
-	record, token := r.tenure.Holder()
+	row := r.tenure.Row()
+	if known := r.row.Load(); row.Exists() && (known == nil || known.Version != row.Version) {
+		r.row.Store(&row)
+	}
+	record := row.Record
 	holds := r.tenure.Holds(now, 0)
 	state := record.Start
 	if record.Released {
@@ -238,10 +259,10 @@
 	r.logged, r.holds = state, holds
 	r.Metrics.setHolds(holds)
 	ranking := r.Ranking()
-	line := r.Log.Line("duty-holder").Str("holder", record.Holder).Str("start", record.Start).Int("token", int64(token)).Bool("released", record.Released).
+	line := r.Log.Line("duty-holder").Str("holder", record.Holder).Str("start", record.Start).Int("token", int64(row.Token())).Bool("released", record.Released).
 		Bool("holds", holds).Int("rank", int64(ranking.Rank)).Int("live", int64(ranking.Live))
-	if holds {
-		line.Millis("lease-age-ms", r.tenure.Age(now))
+	if age, ok := r.tenure.Age(now); ok {
+		line.Millis("lease-age-ms", age)
 	}
 	line.End()
 }
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -78,6 +78,7 @@
 	mayCrash      bool           // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits // see traits
 	reading       *demandAttempt // of the attempt in progress
+	usageCounted  bool           // see countUsage
 }
 
 // An upstreamFailure is an upstream's answer with a status of 500 or above.
@@ -304,6 +305,7 @@
 	case head.Status < http.StatusMultipleChoices && e.request.Route.Kind.Streaming():
 		return e.relayStream(ctx, answer, slot)
 	}
+	e.countUsage()
 	body, err := answer.ReadBody(maxBodyBytes, 0)
 	if err != nil {
 		return e.classifyReadError(ctx, err)
@@ -366,6 +368,7 @@
 		switch events {
 		case 0:
 			sampleStart = lastEvent
+			e.countUsage()
 			e.router.crashes.markWriting(e)
 		case paceSampleEvents:
 			eventGap = lastEvent.Sub(sampleStart) / paceSampleEvents
