--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -63,6 +63,15 @@
 	return decisions
 }
 
+// Needs returns the upstreams that the demand needs in each failure domain that can serve.
+func (p *Planner) Needs(now time.Time) map[string]float64 {
+	needs := p.shares(now)
+	for name, share := range needs {
+		needs[name] = share * p.expected(now)
+	}
+	return needs
+}
+
 func (p *Planner) decision(now time.Time, d *Domain) Decision {
 	return Decision{
 		Order:   Order{Service: p.last.Service, Domain: d.Name},
--- a/core/scaling/task.go
+++ b/core/scaling/task.go
@@ -33,8 +33,10 @@
 // repeated ask for the same number, so that a call whose outcome is unknown is made again.
 type Task struct {
 	Source Source
-	// Record takes the outcome of each call; nil if nobody wants it. It must not block.
+	// Record takes the outcome of each call, and Watch the upstreams that a service needs by
+	// failure domain; nil if nobody wants them. They must not block.
 	Record func(o Outcome)
+	Watch  func(service string, needs map[string]float64)
 
 	planners map[string]*Planner // by service
 	pending  map[string]*sending // by subject
@@ -79,6 +81,9 @@
 		for _, d := range p.Decide(now) {
 			t.pending[d.subject()] = &sending{decision: d}
 		}
+		if t.Watch != nil {
+			t.Watch(v.Service, p.Needs(now))
+		}
 	}
 }
 
