--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
-		if d.Reason = e.unfit(p, model, first, d.Outlook); d.Reason == Escalated {
+		if d.Reason = e.unfit(p, first, d.Outlook); d.Reason == Escalated {
 			d.Model = model
 			return d
 		}
@@ -216,7 +216,7 @@
 }
 
 // unfit returns why a larger model is not asked, or Escalated.
-func (e *Escalator) unfit(p EscalateParams, model string, first time.Duration, o Outlook) Reason {
+func (e *Escalator) unfit(p EscalateParams, first time.Duration, o Outlook) Reason {
 	switch {
 	case p.LatencyObjective > 0 && p.Elapsed+first > p.LatencyObjective && p.Confidence >= lateMinConfidence:
 		return BeginsLate
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -70,6 +70,7 @@
 	probe         bool             // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool             // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits   // see traits
+	reading       *demandAttempt   // of the attempt in progress
 	usageCounted  bool             // see countUsage
 	decision      cascade.Decision // the last one whether a larger model is asked
 	confidence    int              // of the model that answered before decision
@@ -239,6 +240,9 @@
 	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
 		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
 	}
+	reading := e.router.demands.begin(e.request.Service)
+	defer reading.end()
+	e.reading = reading
 	e.router.takeTurn(e)
 	ctx = e.router.crashes.begin(ctx, e, &slot.Upstream)
 	defer e.router.crashes.end(e)
@@ -368,6 +372,7 @@
 		e.streamBegun.Store(true)
 		e.firstEventAt = time.Now()
 	}
+	e.reading.begun()
 	if err := e.answerWriter.WriteEvent(event.Data); err != nil {
 		return err
 	}
