core/trial: the rate of requests is taken for each instance by its own reports

What callers saw: a good version was rolled back after it had got the traffic, now and then (TestRolloutOfGoodVersionCompletes, 1 of 30); and a bad one got more than the bound allows where the traffic grew by 1.6 just after the move (693 of 4,195, 659 allowed, one drawn roll-out). Cause: the guard took the rate from the sum of all counts, which grows in steps as reports come, and left out what instances had sent since their newest report. Measured: TestSteadyTrafficIsNotStoppedAfterMove and TestTrafficThatGrowsAfterMoveStaysWithinExposure with 1.6, which is new in it, fail before and pass after; TestRolloutOfGoodVersionCompletes passed 60 of 60 (go test -count 60, one process).

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -33,12 +33,12 @@
 	}
 	t.clearanceChecked = now
 	elapsed := now.Sub(t.startTime)
-	t.ledger.record(elapsed, t.TotalExposure().All)
+	t.ownArrivals.record(elapsed, t.exposure.All)
 	if float64(elapsed) < earliestClearance*float64(t.Order.Duration) || !t.collects() {
 		return
 	}
 	tested := t.goodAnswers() > 0 || t.TotalExposure().All == 0
-	if at := elapsed + clearanceDelay; tested && t.mayMoveAt(elapsed, at) && !t.isSuspicious() {
+	if at := elapsed + clearanceDelay; tested && t.mayMoveAt(now, at) && !t.isSuspicious() {
 		t.moveAt = at
 	}
 }
@@ -52,9 +52,9 @@
 		return false
 	}
 	elapsed := now.Sub(t.startTime)
-	t.ledger.record(elapsed, t.TotalExposure().All)
+	t.ownArrivals.record(elapsed, t.exposure.All)
 	switch {
-	case t.hasMoveStarted(now) && elapsed < t.Order.Duration && t.exceedsBound(elapsed):
+	case t.hasMoveStarted(now) && elapsed < t.Order.Duration && t.exceedsBound(now):
 		return t.AdoptState(Stopped, "the bound on exposure does not cover the requests up to the deadline")
 	case elapsed < t.Order.Duration-giveUpMargin:
 		return false
--- a/core/trial/completion.go
+++ b/core/trial/completion.go
@@ -14,7 +14,7 @@
 	// old version are no longer waited for: they continue on the new version.
 	drainMargin = 800 * time.Millisecond
 	// maxReportAge is the age of an instance's report up to which it is taken to be
-	// running the trial still. Once the traffic has moved, an instance reports four times
+	// running the trial still, and to send as many requests. Once the traffic has moved, an instance reports four times
 	// as often.
 	maxReportAge = time.Second
 )
@@ -98,7 +98,7 @@
 	for _, r := range t.reports {
 		oldRunning += max(r.OldRunning, 0)
 	}
-	return t.exposureBeyond(elapsed, elapsed)+float64(oldRunning) <= cutOffSlackFraction*t.bounds.ExposeSlack
+	return t.exposureBeyond(now, elapsed)+float64(oldRunning) <= cutOffSlackFraction*t.bounds.ExposeSlack
 }
 
 // AllMoved reports whether this instance and all the named ones send all
--- a/core/trial/drawn_test.go
+++ b/core/trial/drawn_test.go
@@ -222,17 +222,19 @@
 	}
 }
 
-// TestTrafficThatGrowsAfterMoveStaysWithinExposure lets callers send twice as much once the
-// traffic has moved, as they do when a bad version makes them repeat requests.
+// TestTrafficThatGrowsAfterMoveStaysWithinExposure lets callers send up to twice as much once
+// the traffic has moved, as they do when a bad version makes them repeat requests.
 func TestTrafficThatGrowsAfterMoveStaysWithinExposure(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	for seed := range uint64(drawnRollouts) {
-		d := drawRollout(seed, unseen)
-		d.rate = []float64{27, 60, 160}[seed%3]
-		d.surge, d.surgeFrom = 2, order.Duration-2*time.Second
-		r := d.run()
-		is.True(!r.exceeds(d.bounds)) // the new version stays within the bound
+	for _, surge := range []float64{1.6, 2} {
+		for seed := range uint64(drawnRollouts) {
+			d := drawRollout(seed, unseen)
+			d.rate = []float64{27, 60, 160}[seed%3]
+			d.surge, d.surgeFrom = surge, order.Duration-2*time.Second
+			r := d.run()
+			is.True(!r.exceeds(d.bounds)) // the new version stays within the bound
+		}
 	}
 }
 
--- a/core/trial/exposure.go
+++ b/core/trial/exposure.go
@@ -21,10 +21,6 @@
 }
 
 const (
-	// ledgerInterval is the time between samples of the total, and ledgerSamples their
-	// number, from which the rate of requests is taken.
-	ledgerInterval = 500 * time.Millisecond
-	ledgerSamples  = 8
 	// surgeFactor is by how much more than at present may be sent after the move without
 	// exceeding the bound.
 	surgeFactor = 1.3
@@ -40,82 +36,66 @@
 	// stopDelay is the time from a report that shows that the trial is to be stopped until
 	// no instance sends to the new version any more.
 	stopDelay = 1300 * time.Millisecond
-	// newestRateSpan is the minimum span over which the newest rate is taken.
-	newestRateSpan = 450 * time.Millisecond
 )
 
-// A ledger keeps the newest totals of attempts, to expect how many will follow. The
-// zero ledger is empty.
-type ledger struct {
-	samples []ledgerSample // oldest first
-}
-
-type ledgerSample struct {
-	elapsed time.Duration // since the order
-	all     int
-}
-
-// record adds a total unless the newest one is recent.
-func (l *ledger) record(elapsed time.Duration, all int) {
-	if n := len(l.samples); n > 0 && elapsed-l.samples[n-1].elapsed < ledgerInterval {
-		return
+// exceedsBound reports whether the new version, to which the traffic has moved, gets more
+// than the bound on exposure allows unless the trial is stopped now, if requests go on at
+// the newest rate. Failures make callers send more of them. Those that the other instances
+// have sent since their reports count too.
+func (t *Trial) exceedsBound(now time.Time) bool {
+	elapsed := now.Sub(t.startTime)
+	start, _ := t.moveStart()
+	total := t.TotalExposure()
+	share := t.bounds.ExposeShare
+	left := min(stopDelay, max(0, t.Order.Duration-elapsed))
+	span := newestRateSpan
+	if t.recentRate(now, span)*span.Seconds() < minNewestAttempts {
+		span = quietRateSpan
 	}
-	l.samples = append(l.samples, ledgerSample{elapsed: elapsed, all: all})
-	if len(l.samples) > ledgerSamples {
-		l.samples = l.samples[1:]
+	expected := t.ownArrivals.rate(span) * left.Seconds()
+	for instance, l := range t.arrivals {
+		if age := now.Sub(t.reportTimes[instance]); age <= maxReportAge {
+			expected += l.rate(span) * (min(age, max(0, elapsed-start)) + left).Seconds()
+		}
 	}
+	return float64(total.New)-share*float64(total.All)+expected*(1-share) > guardSlackFraction*t.bounds.ExposeSlack
 }
 
-// rate returns the attempts per second: the larger of the newest rate and that since the
-// order.
-func (l *ledger) rate(elapsed time.Duration, all int) float64 {
+// mayMoveAt reports whether the new version stays within the bound on exposure if it gets
+// all requests from the time until the order's deadline, both as times since the order.
+func (t *Trial) mayMoveAt(now time.Time, at time.Duration) bool {
+	return t.exposureBeyond(now, at) <= moveSlackFraction*t.bounds.ExposeSlack
+}
+
+// arrivalRate returns the attempts per second of all instances: the larger of the rate of
+// the last seconds and that since the order.
+func (t *Trial) arrivalRate(now time.Time) float64 {
+	rate := t.recentRate(now, rateSpan)
+	elapsed := now.Sub(t.startTime)
 	if elapsed <= 0 {
-		return 0
-	}
-	rate := float64(all) / elapsed.Seconds()
-	if len(l.samples) == 0 {
 		return rate
 	}
-	oldest := l.samples[0]
-	if span := elapsed - oldest.elapsed; span >= ledgerInterval {
-		rate = max(rate, float64(all-oldest.all)/span.Seconds())
-	}
-	return rate
+	return max(rate, float64(t.TotalExposure().All)/elapsed.Seconds())
 }
 
-// newestRate returns the attempts per second since the newest sample that is not too recent.
-func (l *ledger) newestRate(elapsed time.Duration, all int) float64 {
-	for i := len(l.samples) - 1; i >= 0; i-- {
-		if span := elapsed - l.samples[i].elapsed; span >= newestRateSpan {
-			return float64(all-l.samples[i].all) / span.Seconds()
+// recentRate returns the attempts per second of all instances that report, over a span.
+func (t *Trial) recentRate(now time.Time, span time.Duration) float64 {
+	rate := t.ownArrivals.rate(span)
+	for instance, l := range t.arrivals {
+		if now.Sub(t.reportTimes[instance]) <= maxReportAge {
+			rate += l.rate(span)
 		}
 	}
-	return 0
-}
-
-// exceedsBound reports whether the new version, to which the traffic has moved, gets more
-// than the bound on exposure allows unless the trial is stopped now, if requests go on at
-// the newest rate. Failures make callers send more of them.
-func (t *Trial) exceedsBound(elapsed time.Duration) bool {
-	total := t.TotalExposure()
-	share := t.bounds.ExposeShare
-	left := min(stopDelay, max(0, t.Order.Duration-elapsed)).Seconds()
-	beyond := float64(total.New) - share*float64(total.All) + t.ledger.newestRate(elapsed, total.All)*left*(1-share)
-	return beyond > guardSlackFraction*t.bounds.ExposeSlack
-}
-
-// mayMoveAt reports whether the new version stays within the bound on exposure if it gets
-// all requests from the time until the order's deadline, both as times since the order.
-func (t *Trial) mayMoveAt(elapsed, at time.Duration) bool {
-	return t.exposureBeyond(elapsed, at) <= moveSlackFraction*t.bounds.ExposeSlack
+	return rate
 }
 
 // exposureBeyond returns how many attempts more than its share of all the new version is
-// expected to get up to the order's deadline if it gets all from a time on. Both are
-// times since the order.
-func (t *Trial) exposureBeyond(elapsed, moveAt time.Duration) float64 {
+// expected to get up to the order's deadline if it gets all from a time on, since the
+// order.
+func (t *Trial) exposureBeyond(now time.Time, moveAt time.Duration) float64 {
+	elapsed := now.Sub(t.startTime)
 	total := t.TotalExposure()
-	rate := t.ledger.rate(elapsed, total.All)
+	rate := t.arrivalRate(now)
 	share := t.bounds.ExposeShare
 	until := (moveAt - elapsed).Seconds()
 	left := max(0, (t.Order.Duration - moveAt).Seconds())
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -172,9 +172,10 @@
 	// foreignSessions are sessions on the old version at other instances, with the
 	// time of their last request.
 	foreignSessions map[SessionHash]time.Time
-	exposure        Exposure // of this instance
-	ledger          ledger
-	summaryGood     int // good answers of the new version at all instances, from summaries
+	exposure        Exposure             // of this instance
+	ownArrivals     arrivals             // of this instance
+	arrivals        map[string]*arrivals // of the other instances, by reports
+	summaryGood     int                  // good answers of the new version at all instances, from summaries
 
 	moveAt           time.Duration // see Summary.MoveAt
 	moveSeen         bool          // hasMoveStarted has reported true
@@ -197,7 +198,7 @@
 func New(now time.Time, o Order, b Bounds) *Trial {
 	return &Trial{
 		Order: o, Baseline: &Baseline{}, bounds: b, created: now, startTime: now,
-		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{}, reportTimes: map[string]time.Time{},
+		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{}, reportTimes: map[string]time.Time{}, arrivals: map[string]*arrivals{},
 		latencyMeans: map[string]*mean{}, eventGapMeans: map[string]*mean{}, sessions: map[string]*sessionState{},
 		foreignSessions: map[SessionHash]time.Time{},
 	}
@@ -464,6 +465,10 @@
 	}
 	t.reports[instance] = r
 	t.reportTimes[instance] = now
+	if t.arrivals[instance] == nil {
+		t.arrivals[instance] = &arrivals{}
+	}
+	t.arrivals[instance].record(r.Elapsed, r.Exposure.All)
 	if r.Stopped {
 		return t.AdoptState(Stopped, stoppedElsewhere)
 	}
