core/trial: the move leaves room in the bound for streams in flight on the old version

Cause: the traffic moved as soon as the bound covered the requests up to the deadline, and nothing was left for the streams. Measured: TestMoveLeavesRoomForStreams fails before ("attempts are in flight on the old version") and passes after.

--- a/core/trial/exposure.go
+++ b/core/trial/exposure.go
@@ -62,9 +62,24 @@
 }
 
 // mayMoveAt reports whether the new version stays within the bound on exposure if it gets
-// all requests from the time until the order's deadline, both as times since the order.
+// all requests from a time on, since the order, until the order's deadline; and, unless it
+// would be too late then for a completion in time, also the attempts that are in flight on
+// the old version: the completion cuts them off.
 func (t *Trial) mayMoveAt(now time.Time, at time.Duration) bool {
-	return t.exposureBeyond(now, at) <= moveSlackFraction*t.bounds.ExposeSlack
+	beyond := t.exposureBeyond(now, at)
+	if at < t.Order.Duration-completionLead {
+		beyond += float64(t.running())
+	}
+	return beyond <= moveSlackFraction*t.bounds.ExposeSlack
+}
+
+// running returns the number of attempts in flight on the old version at all instances.
+func (t *Trial) running() int {
+	n := t.ownRunning
+	for _, r := range t.reports {
+		n += r.Running
+	}
+	return n
 }
 
 // arrivalRate returns the attempts per second of all instances: the larger of the rate of
--- a/core/trial/exposure_test.go
+++ b/core/trial/exposure_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// TestMoveLeavesRoomForStreams lets streams on the old version last beyond the deadline: the
+// bound covers them too, so that the trial can be completed in time.
+func TestMoveLeavesRoomForStreams(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+	}{
+		{name: "none"},
+		{name: "some", running: 60},
+		{name: "many", running: 120},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			at := time.Duration(0)
+			for ; at < order.Duration-600*time.Millisecond; at += reportingStep { // 100 requests a second
+				now := start.Add(at)
+				toNew := tr.ChooseNew(now, "", fmt.Sprint(at))
+				tr.CountAttempt(toNew)
+				tr.RecordOutcome(Observation{New: toNew, Kind: "k", Answered: true})
+				tr.Report(now, tt.running)
+			}
+			is.Equal(tr.CompletionBlocker(start.Add(at), tt.running, Others{}), "")
+			exposure := tr.TotalExposure()
+			is.True(float64(exposure.New+tt.running) <= bounds.ExposeShare*float64(exposure.All+tt.running)+bounds.ExposeSlack)
+		})
+	}
+}
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -128,8 +128,10 @@
 	Exposure Exposure               `json:"exposure"` // of this instance
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
-	OldRunning int  `json:"old-running"`
-	Stopped    bool `json:"stopped,omitempty"` // the instance has stopped the trial, or knows that it was
+	OldRunning int `json:"old-running"`
+	// Running is the number of attempts in flight on the old version.
+	Running int  `json:"running,omitempty"`
+	Stopped bool `json:"stopped,omitempty"` // the instance has stopped the trial, or knows that it was
 	// OldSessions are recent sessions on the old version that instances which do
 	// not know them would send to the new one.
 	OldSessions OldSessions `json:"old-sessions,omitempty"`
@@ -175,6 +177,7 @@
 	exposure        Exposure             // of this instance
 	ownArrivals     arrivals             // of this instance
 	arrivals        map[string]*arrivals // of the other instances, by reports
+	ownRunning      int                  // see Report.Running
 	summaryGood     int                  // good answers of the new version at all instances, from summaries
 
 	moveAt           time.Duration // see Summary.MoveAt
@@ -511,13 +514,14 @@
 // Report returns this instance's evidence. oldRunning is the number of its
 // attempts in flight on the old version.
 func (t *Trial) Report(now time.Time, oldRunning int) Report {
-	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
+	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, Running: oldRunning, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
 	for kind, e := range t.ownEvidence {
 		r.Kinds[kind] = e
 	}
 	for kind, a := range t.ownMoved {
 		r.Moved[kind] = a
 	}
+	t.ownRunning = oldRunning
 	if t.Moved(now) {
 		r.OldRunning = oldRunning
 	}
