--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -128,8 +128,10 @@
 	Exposure Exposure               `json:"exposure"` // of this instance
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
-	OldRunning int  `json:"old-running"`
-	Stopped    bool `json:"stopped,omitempty"` // the instance has stopped the trial, or knows that it was
+	OldRunning int `json:"old-running"`
+	// Running is the number of attempts in flight on the old version.
+	Running int  `json:"running,omitempty"`
+	Stopped bool `json:"stopped,omitempty"` // the instance has stopped the trial, or knows that it was
 	// OldSessions are recent sessions on the old version that instances which do
 	// not know them would send to the new one.
 	OldSessions OldSessions `json:"old-sessions,omitempty"`
@@ -172,9 +174,11 @@
 	// foreignSessions are sessions on the old version at other instances, with the
 	// time of their last request.
 	foreignSessions map[SessionHash]time.Time
-	exposure        Exposure // of this instance
-	ledger          ledger
-	summaryGood     int // good answers of the new version at all instances, from summaries
+	exposure        Exposure             // of this instance
+	ownArrivals     arrivals             // of this instance
+	arrivals        map[string]*arrivals // of the other instances, by reports
+	ownRunning      int                  // see Report.Running
+	summaryGood     int                  // good answers of the new version at all instances, from summaries
 
 	moveAt           time.Duration // see Summary.MoveAt
 	moveSeen         bool          // hasMoveStarted has reported true
@@ -197,7 +201,7 @@
 func New(now time.Time, o Order, b Bounds) *Trial {
 	return &Trial{
 		Order: o, Baseline: &Baseline{}, bounds: b, created: now, startTime: now,
-		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{}, reportTimes: map[string]time.Time{},
+		ownEvidence: map[string]rollout.Evidence{}, ownMoved: map[string]rollout.Arm{}, reports: map[string]Report{}, reportTimes: map[string]time.Time{}, arrivals: map[string]*arrivals{},
 		latencyMeans: map[string]*mean{}, eventGapMeans: map[string]*mean{}, sessions: map[string]*sessionState{},
 		foreignSessions: map[SessionHash]time.Time{},
 	}
@@ -464,6 +468,10 @@
 	}
 	t.reports[instance] = r
 	t.reportTimes[instance] = now
+	if t.arrivals[instance] == nil {
+		t.arrivals[instance] = &arrivals{}
+	}
+	t.arrivals[instance].record(r.Elapsed, r.Exposure.All)
 	if r.Stopped {
 		return t.AdoptState(Stopped, stoppedElsewhere)
 	}
@@ -506,13 +514,14 @@
 // Report returns this instance's evidence. oldRunning is the number of its
 // attempts in flight on the old version.
 func (t *Trial) Report(now time.Time, oldRunning int) Report {
-	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
+	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, OldRunning: -1, Running: oldRunning, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
 	for kind, e := range t.ownEvidence {
 		r.Kinds[kind] = e
 	}
 	for kind, a := range t.ownMoved {
 		r.Moved[kind] = a
 	}
+	t.ownRunning = oldRunning
 	if t.Moved(now) {
 		r.OldRunning = oldRunning
 	}
