node/duty: a report that the store may have lost is not made anew

Cause: a store that comes back from a copy may have lost the fixed content of a report that was sent; a successor that has counted something else would report the window again with other counts. Change: windows that ended before an instance learnt of the store's era, and that the store does not have, are over.

--- a/node/duty/runner_test.go
+++ b/node/duty/runner_test.go
@@ -22,6 +22,15 @@
 	mu     sync.Mutex
 	rows   map[string]Row
 	number uint64
+	era    uint64
+}
+
+// restore lets the store come back from an empty copy.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	clear(s.rows)
 }
 
 type storeOf struct {
@@ -37,7 +46,10 @@
 	if *s.cut {
 		return Row{}, errCut
 	}
-	return s.rows[key], nil
+	if row, ok := s.rows[key]; ok {
+		return row, nil
+	}
+	return Row{Key: key, Version: era.New(s.era, 0)}, nil
 }
 
 func (s storeOf) Write(_ context.Context, key string, expect era.Version, value []byte) (era.Version, error) {
@@ -46,11 +58,11 @@
 	switch {
 	case *s.cut:
 		return 0, errCut
-	case s.rows[key].Version != expect:
+	case s.rows[key].Version.Number() != expect.Number():
 		return 0, ErrChanged
 	}
 	s.number++
-	s.rows[key] = Row{Key: key, Value: value, Version: era.New(0, s.number)}
+	s.rows[key] = Row{Key: key, Value: value, Version: era.New(s.era, s.number)}
 	return s.rows[key].Version, nil
 }
 
--- a/node/duty/usage.go
+++ b/node/duty/usage.go
@@ -81,6 +81,8 @@
 	done      map[int64]bool          // windows that are reported or over; guarded by mu
 	kept      map[int64]usage.Window  // windows as the store has them, not done; guarded by mu
 	slots     map[int64]era.Version   // versions of rows, by slot; used by keep only
+	era       uint64                  // newest known era of the store; guarded by mu
+	eraSince  time.Time               // when era was first seen; guarded by mu
 	keeping   bool                    // keep is running; guarded by mu
 	work      context.Context         // ends with Run; guarded by mu
 }
@@ -157,6 +159,7 @@
 	holder := ""
 	if row := u.Tenure.Row(); row != nil {
 		holder = row.Record.Holder
+		u.observeEra(now, row.Version.Era())
 	}
 	addresses := u.collectors(holder)
 	u.mu.Unlock()
@@ -167,6 +170,22 @@
 	sending.Wait()
 }
 
+// observeEra records an era of the store. The caller holds mu.
+func (u *Usage) observeEra(now time.Time, e uint64) {
+	if e > u.era {
+		u.era, u.eraSince = e, now
+	}
+}
+
+// mayBeLost reports whether the store may have lost the content of a window's report, by a
+// row of it, so that no other may be reported.
+func (u *Usage) mayBeLost(number int64, row Row) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.observeEra(u.now(), row.Version.Era())
+	return u.era > 0 && u.Spans.End(number).Before(u.eraSince)
+}
+
 // collectors returns the addresses of the instances to report to. The caller holds mu.
 func (u *Usage) collectors(holder string) []string {
 	var addresses []string
@@ -337,12 +356,12 @@
 		}
 		u.kept[w.Number] = kept
 	default:
-		u.finish(w.Number) // the row has a newer window
+		u.finish(w.Number) // the row has a newer window, or the store may have lost this one
 	}
 }
 
 // keepInStore returns what the row of a window's slot has: the window as it was first
-// written, or a newer one.
+// written, or another one if it must not be written any more.
 func (u *Usage) keepInStore(ctx context.Context, w usage.Window) (usage.Window, error) {
 	slot := w.Number % usageSlots
 	key := usageRow + strconv.FormatInt(slot, 10)
@@ -362,7 +381,7 @@
 			}
 		}
 		version = row.Version
-		if stored.Number >= w.Number {
+		if stored.Number >= w.Number || u.mayBeLost(w.Number, row) {
 			u.slots[slot] = version
 			return stored, nil
 		}
