core/cascade: lengths are expected from the caller's estimate and from what is usual

Cause: the predicted length followed the caller's estimate in full. Estimates are often far off, so long ones seemed to end too late although answers of the kind never are so long, and some were given up that would have ended. Change: a regression of the length on the estimate is learnt by route. The chance to end must be 0.8 whatever is dropped.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -25,10 +25,8 @@
 	// an answer counts for. It is also the largest latency counted.
 	lostLatency = 2.0
 	// minEndChance is the least predicted chance that the answer of a larger model ends
-	// before the deadline, if the answer that is dropped for it has no confidence at all;
-	// confidentEndChance is that for minConfidence.
-	minEndChance       = 0.5
-	confidentEndChance = 0.9
+	// before the deadline: its caller had an answer coming.
+	minEndChance = 0.8
 	// stepWeight is the weight of the newest difference between the confidences of two
 	// models in a moving average.
 	stepWeight = 0.1
@@ -207,7 +205,7 @@
 			continue
 		}
 		d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
-		if d.Reason = e.unfit(p, model, first, d.Outlook); d.Reason == Escalated {
+		if d.Reason = e.unfit(p, first, d.Outlook); d.Reason == Escalated {
 			d.Model = model
 			return d
 		}
@@ -216,11 +214,11 @@
 }
 
 // unfit returns why a larger model is not asked, or Escalated.
-func (e *Escalator) unfit(p EscalateParams, model string, first time.Duration, o Outlook) Reason {
+func (e *Escalator) unfit(p EscalateParams, first time.Duration, o Outlook) Reason {
 	switch {
 	case p.LatencyObjective > 0 && p.Elapsed+first > p.LatencyObjective && p.Confidence >= lateMinConfidence:
 		return BeginsLate
-	case o.Chance < requiredEndChance(p.Confidence):
+	case o.Chance < minEndChance:
 		return EndsLate
 	case p.GapTarget > 0 && o.Pause > p.GapTarget:
 		return Pauses
@@ -229,14 +227,8 @@
 }
 
 // EndsInTime reports whether the answer of a model that is to be asked again still ends
-// before the deadline. Confidence is that of the answer that was dropped for it.
+// before the deadline.
 func (e *Escalator) EndsInTime(p EscalateParams, model string) bool {
 	first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
-	return e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft).Chance >= requiredEndChance(p.Confidence)
-}
-
-// requiredEndChance returns the least chance that a larger model's answer ends before the
-// deadline: the better the answer that is dropped for it, the higher.
-func requiredEndChance(confidence int) float64 {
-	return minEndChance + (confidentEndChance-minEndChance)*float64(confidence)/minConfidence
+	return e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft).Chance >= minEndChance
 }
--- a/core/cascade/forecast.go
+++ b/core/cascade/forecast.go
@@ -15,10 +15,10 @@
 	paceAge = 4 * time.Second
 	// slowHalfLife is the time in which a model that isn't asked regains half of what it is
 	// slower by than the reference: without that it might never be asked again.
-	slowHalfLife = time.Minute
+	slowHalfLife = 30 * time.Second
 	// minSpread is the least standard deviation, as a logarithm, that the length of an
 	// answer is taken to have, and firstSpread is that of a kind of which no answer is known.
-	minSpread   = 0.3
+	minSpread   = 0.2
 	firstSpread = 0.7
 	// eventTokens is the number of tokens that an event is taken to hold as long as no
 	// answer of the kind is known.
@@ -68,13 +68,41 @@
 	hinted bool
 }
 
+// lengths is a moving linear regression of the logarithm of the number of events on that of
+// the base: how much the answers of a kind follow what callers say of them.
+type lengths struct {
+	events, base       float64 // means
+	eventsVar, baseVar float64 // variances
+	covariance         float64
+}
+
+// firstLength returns lengths that follow the base, as far as nothing else is known.
+func firstLength(events, base float64) *lengths {
+	return &lengths{events: events, base: base, eventsVar: 2 * firstSpread * firstSpread, baseVar: firstSpread * firstSpread, covariance: firstSpread * firstSpread}
+}
+
+func (l *lengths) add(events, base float64) {
+	e, b := events-l.events, base-l.base
+	l.events += answerWeight * e
+	l.base += answerWeight * b
+	l.eventsVar += answerWeight * (e*e - l.eventsVar)
+	l.baseVar += answerWeight * (b*b - l.baseVar)
+	l.covariance += answerWeight * (e*b - l.covariance)
+}
+
+// predict returns the expected logarithm of the number of events and its standard deviation.
+func (l *lengths) predict(base float64) (mean, deviation float64) {
+	slope := l.covariance / math.Max(l.baseVar, 1e-9)
+	return l.events + slope*(base-l.base), math.Sqrt(math.Max(0, l.eventsVar-slope*l.covariance))
+}
+
 // A Forecast predicts how long the rest of an answer takes, from how long this instance's
 // own answers took: their lengths against what callers estimate, and the times between
 // events of each model at present load. The zero Forecast is ready to use. It is not safe
 // for concurrent use.
 type Forecast struct {
-	paces   map[string]*pace       // by model
-	lengths map[lengthKey]*moments // logarithms of events for each token of the base
+	paces   map[string]*pace // by model
+	lengths map[lengthKey]*lengths
 }
 
 // RecordSpan records a span of consecutive events of a model: the mean time between them
@@ -124,15 +152,16 @@
 		return
 	}
 	if f.lengths == nil {
-		f.lengths = map[lengthKey]*moments{}
+		f.lengths = map[lengthKey]*lengths{}
 	}
-	key, x := lengthKey{kind, l.Hint > 0}, math.Log(float64(events)/float64(l.base()))
+	key, x, base := lengthKey{kind, l.Hint > 0}, math.Log(float64(events)), math.Log(float64(l.base()))
 	m := f.lengths[key]
-	switch {
-	case m == nil:
-		f.lengths[key] = &moments{mean: x, deviation: firstSpread / normalDeviation}
-	case !cut || x > m.mean:
-		m.add(x, answerWeight)
+	if m == nil {
+		f.lengths[key] = firstLength(x, base)
+		return
+	}
+	if usual, _ := m.predict(base); !cut || x > usual {
+		m.add(x, base)
 	}
 }
 
@@ -143,7 +172,8 @@
 	if m == nil {
 		return math.Max(1, float64(l.base())/eventTokens), firstSpread
 	}
-	return float64(l.base()) * math.Exp(m.mean), math.Max(minSpread, normalDeviation*m.deviation)
+	mean, spread := m.predict(math.Log(float64(l.base())))
+	return math.Exp(mean), math.Max(minSpread, spread)
 }
 
 // An Outlook is what is predicted of an answer that a model has yet to write.
