core/trial: the work of a report does not grow with the number of instances

Each report, and each answer to one, added up the evidence of all reports anew, by kind of request. Change: the sum of the reports is kept up to date by the difference to the instance's report before.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// Minus returns the difference of two arms.
+func (a Arm) Minus(o Arm) Arm {
+	return Arm{
+		Errors: a.Errors.Minus(o.Errors), Latency: a.Latency.Minus(o.Latency), Ratings: a.Ratings.Minus(o.Ratings),
+		EventGaps: a.EventGaps.Minus(o.EventGaps), GapsOverMedian: a.GapsOverMedian.Minus(o.GapsOverMedian),
+		Failures: a.Failures.Minus(o.Failures), Durations: a.Durations.Minus(o.Durations),
+	}
+}
+
 // Evidence is the evidence about both versions: about the new one since the
 // segment began, about the old one since the roll-out began, as few sessions
 // use the old one towards the end.
@@ -91,6 +100,11 @@
 	return Evidence{New: e.New.Plus(o.New), Old: e.Old.Plus(o.Old)}
 }
 
+// Minus returns the difference of two pieces of evidence.
+func (e Evidence) Minus(o Evidence) Evidence {
+	return Evidence{New: e.New.Minus(o.New), Old: e.Old.Minus(o.Old)}
+}
+
 // A State is the progress of a roll-out. The zero State is at the first step.
 type State struct {
 	Step    int       `json:"step"`    // index into the rule's shares
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -18,6 +18,9 @@
 // Plus returns the sum of two counts.
 func (c Counts) Plus(o Counts) Counts { return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad} }
 
+// Minus returns the difference of two counts.
+func (c Counts) Minus(o Counts) Counts { return Counts{Good: c.Good - o.Good, Bad: c.Bad - o.Bad} }
+
 // Rate returns the share of good outcomes, or 0.5 if there are none.
 func (c Counts) Rate() float64 {
 	if c.N() == 0 {
--- a/core/trial/evidence.go
+++ b/core/trial/evidence.go
@@ -10,38 +10,46 @@
 	"banyanyard/core/tally"
 )
 
-// retire adds the last report of an instance that has restarted to what is kept.
-func (t *Trial) retire(r Report) {
-	if t.retired.Kinds == nil {
-		t.retired.Kinds = map[string]rollout.Evidence{}
-		t.retired.Moved = map[string]rollout.Arm{}
+// A reportSum is the sum of reports. The sum is kept up to date as reports come, since its
+// parts are needed for each of them: the work of a report must not grow with the number of
+// instances.
+type reportSum struct {
+	Kinds    map[string]rollout.Evidence // by kind of request
+	Moved    map[string]rollout.Arm      // by kind of request
+	Exposure Exposure
+}
+
+// replace takes the report of an instance in place of its one before, which is zero for the
+// first report of a start.
+func (s *reportSum) replace(before, r Report) {
+	if s.Kinds == nil {
+		s.Kinds = map[string]rollout.Evidence{}
+		s.Moved = map[string]rollout.Arm{}
+	}
+	for kind, e := range before.Kinds {
+		s.Kinds[kind] = s.Kinds[kind].Minus(e)
 	}
-	t.retired.Exposure = t.retired.Exposure.Plus(r.Exposure)
 	for kind, e := range r.Kinds {
-		t.retired.Kinds[kind] = t.retired.Kinds[kind].Plus(e)
+		s.Kinds[kind] = s.Kinds[kind].Plus(e)
+	}
+	for kind, a := range before.Moved {
+		s.Moved[kind] = s.Moved[kind].Minus(a)
 	}
 	for kind, a := range r.Moved {
-		t.retired.Moved[kind] = t.retired.Moved[kind].Plus(a)
+		s.Moved[kind] = s.Moved[kind].Plus(a)
 	}
+	s.Exposure = s.Exposure.Minus(before.Exposure).Plus(r.Exposure)
 }
 
 // totalEvidence returns the evidence of all instances about a kind of request.
 func (t *Trial) totalEvidence(kind string) rollout.Evidence {
-	e := t.ownEvidence[kind].Plus(t.retired.Kinds[kind])
-	for _, r := range t.reports {
-		e = e.Plus(r.Kinds[kind])
-	}
-	return e
+	return t.ownEvidence[kind].Plus(t.others.Kinds[kind])
 }
 
 // movedEvidence is totalEvidence with, of the new version, only what has been observed
 // since the traffic moved.
 func (t *Trial) movedEvidence(kind string) rollout.Evidence {
-	moved := t.ownMoved[kind].Plus(t.retired.Moved[kind])
-	for _, r := range t.reports {
-		moved = moved.Plus(r.Moved[kind])
-	}
-	return rollout.Evidence{New: moved, Old: t.totalEvidence(kind).Old}
+	return rollout.Evidence{New: t.ownMoved[kind].Plus(t.others.Moved[kind]), Old: t.totalEvidence(kind).Old}
 }
 
 // goodAnswers returns the number of good answers of the new version at all instances.
@@ -59,14 +67,9 @@
 	for kind := range t.ownEvidence {
 		kinds[kind] = true
 	}
-	for kind := range t.retired.Kinds {
+	for kind := range t.others.Kinds {
 		kinds[kind] = true
 	}
-	for _, r := range t.reports {
-		for kind := range r.Kinds {
-			kinds[kind] = true
-		}
-	}
 	return kinds
 }
 
--- a/core/trial/exposure.go
+++ b/core/trial/exposure.go
@@ -11,14 +11,11 @@
 // Plus returns the sum of two exposures.
 func (e Exposure) Plus(o Exposure) Exposure { return Exposure{All: e.All + o.All, New: e.New + o.New} }
 
+// Minus returns the difference of two exposures.
+func (e Exposure) Minus(o Exposure) Exposure { return Exposure{All: e.All - o.All, New: e.New - o.New} }
+
 // TotalExposure returns the exposure of all instances, as far as known here.
-func (t *Trial) TotalExposure() Exposure {
-	total := t.exposure.Plus(t.retired.Exposure)
-	for _, r := range t.reports {
-		total = total.Plus(r.Exposure)
-	}
-	return total
-}
+func (t *Trial) TotalExposure() Exposure { return t.exposure.Plus(t.others.Exposure) }
 
 const (
 	// surgeFactor is by how much more than at present may be sent after the move without
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -167,7 +167,7 @@
 	ownMoved      map[string]rollout.Arm      // see Report.Moved
 	reports       map[string]Report           // by instance
 	reportTimes   map[string]time.Time        // of the reports
-	retired       Report                      // sum of reports from before restarts of instances
+	others        reportSum                   // of reports, with the last ones from before restarts of instances
 	latencyMeans  map[string]*mean            // of the old version, by kind of request
 	eventGapMeans map[string]*mean            // of the old version, by kind of request
 	sessions      map[string]*sessionState
@@ -463,9 +463,11 @@
 	if r.To != t.Order.To || t.state != Running {
 		return false
 	}
-	if old := t.reports[instance]; r.Exposure.All < old.Exposure.All {
-		t.retire(old) // the instance has restarted and counts anew
+	before := t.reports[instance]
+	if r.Exposure.All < before.Exposure.All {
+		before = Report{} // the instance has restarted and counts anew
 	}
+	t.others.replace(before, r)
 	t.reports[instance] = r
 	t.reportTimes[instance] = now
 	if t.arrivals[instance] == nil {
