core/trial: the latest move is exact, and a second before the deadline

Change: nextMove sets the move to one second before the deadline when the next decision would be later.

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -38,7 +38,7 @@
 		return
 	}
 	tested := t.goodAnswers() > 0 || t.TotalExposure().All == 0
-	if at := elapsed + clearanceDelay; tested && t.mayMoveAt(now, at) && !t.isSuspicious() {
+	if at, ok := t.nextMove(now); ok && tested && !t.isSuspicious() {
 		t.moveAt = at
 	}
 }
--- a/core/trial/completion.go
+++ b/core/trial/completion.go
@@ -15,7 +15,7 @@
 	drainMargin = 800 * time.Millisecond
 	// completionLead is the time before the order's deadline at which the traffic must have
 	// moved, so that all instances can report that and the record can be written in time.
-	completionLead = 900 * time.Millisecond
+	completionLead = time.Second
 	// maxReportAge is the age of an instance's report up to which it is taken to be
 	// running the trial still, and to send as many requests. Once the traffic has moved, an instance reports four times
 	// as often.
--- a/core/trial/exposure.go
+++ b/core/trial/exposure.go
@@ -61,16 +61,22 @@
 	return float64(total.New)-share*float64(total.All)+expected*(1-share) > guardSlackFraction*t.bounds.ExposeSlack
 }
 
-// mayMoveAt reports whether the new version stays within the bound on exposure if it gets
-// all requests from a time on, since the order, until the order's deadline; and, unless it
-// would be too late then for a completion in time, also the attempts that are in flight on
-// the old version: the completion cuts them off.
-func (t *Trial) mayMoveAt(now time.Time, at time.Duration) bool {
-	beyond := t.exposureBeyond(now, at)
-	if at < t.Order.Duration-completionLead {
-		beyond += float64(t.running())
+// nextMove returns when the traffic may move, as a time since the order, if that can be
+// decided now. The new version stays within the bound on exposure then if it gets all
+// requests until the order's deadline, and the attempts that are in flight on the old
+// version, which the completion cuts off. For the sake of these, the traffic does not move
+// later than completionLead before the deadline.
+func (t *Trial) nextMove(now time.Time) (time.Duration, bool) {
+	at := now.Sub(t.startTime) + clearanceDelay
+	latest := t.Order.Duration - completionLead
+	room := moveSlackFraction*t.bounds.ExposeSlack - t.exposureBeyond(now, at)
+	switch {
+	case room >= float64(t.running()):
+		return at, true
+	case room >= 0 && at+clearanceInterval > latest:
+		return max(at, latest), true
 	}
-	return beyond <= moveSlackFraction*t.bounds.ExposeSlack
+	return 0, false
 }
 
 // running returns the number of attempts in flight on the old version at all instances.
