--- a/node/duty/runner_test.go
+++ b/node/duty/runner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,12 @@
 	cut *bool
 }
 
+func (s storeOf) cutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*s.cut = true
+}
+
 var errCut = errors.New("cut off")
 
 func (s storeOf) Read(_ context.Context, key string) (Row, error) {
@@ -108,15 +115,22 @@
 	return nil
 }
 
+// seen returns the holders, in order of their calls, and their tokens.
+func (c *counter) seen() (holders []string, tokens []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.acts), slices.Clone(c.tokens)
+}
+
 func TestSuccessor(t *testing.T) {
 	tests := []struct {
 		name    string
-		disturb func(first *Runner, cut *bool, platform *counter)
+		disturb func(first *Runner, store storeOf, platform *counter)
 		within  time.Duration
 	}{
-		{name: "stopped", within: 2 * time.Second, disturb: func(first *Runner, _ *bool, _ *counter) { first.GiveUp(context.Background()) }},
-		{name: "cut off from the store", within: 8 * time.Second, disturb: func(_ *Runner, cut *bool, _ *counter) { *cut = true }},
-		{name: "cut off from the platform's API", within: 12 * time.Second, disturb: func(first *Runner, _ *bool, platform *counter) {
+		{name: "stopped", within: 2 * time.Second, disturb: func(first *Runner, _ storeOf, _ *counter) { first.GiveUp(context.Background()) }},
+		{name: "cut off from the store", within: 8 * time.Second, disturb: func(_ *Runner, store storeOf, _ *counter) { store.cutOff() }},
+		{name: "cut off from the platform's API", within: 12 * time.Second, disturb: func(first *Runner, _ storeOf, platform *counter) {
 			platform.mu.Lock()
 			defer platform.mu.Unlock()
 			platform.silent[first.Instance] = true
@@ -144,14 +158,17 @@
 					go r.Run(ctx)
 				}
 				time.Sleep(3 * time.Second)
-				is.Equal(platform.acts, []string{"i0"})
-				tt.disturb(runners[0], &cut[0], platform)
+				holders, _ := platform.seen()
+				is.Equal(holders, []string{"i0"})
+				tt.disturb(runners[0], storeOf{store, &cut[0]}, platform)
 				time.Sleep(tt.within)
-				is.Equal(len(platform.acts), 2)
-				is.True(platform.acts[1] != "i0")
-				is.True(platform.tokens[1] > platform.tokens[0])
+				holders, tokens := platform.seen()
+				is.Equal(len(holders), 2)
+				is.True(holders[1] != "i0")
+				is.True(tokens[1] > tokens[0])
 				time.Sleep(time.Minute)
-				is.Equal(len(platform.acts), 2) // the successor stays
+				holders, _ = platform.seen()
+				is.Equal(len(holders), 2) // the successor stays
 			})
 		})
 	}
