core/cascade: the model between with a margin, latency by the size of the prompt

Change: without strain the expected confidence must suffice with half a deviation less. The time to the first event is a regression on the prompt's tokens, and counts for the end only; the objective is compared with what is usual, as before.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -30,11 +30,12 @@
 	// stepWeight is the weight of the newest difference between the confidences of two
 	// models in a moving average.
 	stepWeight = 0.1
-	// trialStep is the difference between the confidences of a model that is not the
-	// largest and the smaller one that is assumed as long as none was seen.
-	trialStep = 15
 )
 
+// firstStep is the difference between the confidences of a model that is not the largest
+// and the smaller one that is assumed as long as none was seen.
+var firstStep = moments{mean: 15, deviation: 10}
+
 // An Escalator decides, for one service, whether the answer of a small model is
 // delivered or a larger model is asked. The decision depends on the small
 // model's confidence, on whether the larger model can begin, go on and end in
@@ -46,16 +47,9 @@
 type Escalator struct {
 	Forecast
 
-	pressure  float64            // see Pressure
-	latencies map[string]latency // by kind of attempt
-	steps     map[step]*moments  // differences between the confidences of two models
-}
-
-// A latency is the moving average of the time to the first answer, and of the size of the
-// prompts, in tokens.
-type latency struct {
-	average time.Duration
-	tokens  float64
+	pressure  float64           // see Pressure
+	latencies map[string]*trend // seconds to the first answer on tokens of the prompt, by kind of attempt
+	steps     map[step]*moments // differences between the confidences of two models
 }
 
 // A step leads from a model to a larger one.
@@ -77,15 +71,13 @@
 // the smallest model was asked; only then does the latency affect the pressure.
 func (e *Escalator) RecordLatency(a Attempt, tokens int, took, objective time.Duration, small bool) {
 	if e.latencies == nil {
-		e.latencies = map[string]latency{}
+		e.latencies = map[string]*trend{}
 	}
-	l, ok := e.latencies[a.key()]
-	if !ok {
-		l = latency{took, float64(tokens)}
+	if l := e.latencies[a.key()]; l != nil {
+		l.add(float64(tokens), took.Seconds(), latencyWeight)
+	} else {
+		e.latencies[a.key()] = &trend{x: float64(tokens), y: took.Seconds()}
 	}
-	l.average += time.Duration(latencyWeight * float64(took-l.average))
-	l.tokens += latencyWeight * (float64(tokens) - l.tokens)
-	e.latencies[a.key()] = l
 	if small && objective > 0 {
 		e.updatePressure(float64(took) / float64(objective))
 	}
@@ -106,17 +98,20 @@
 
 // ExpectedLatency returns the average time to the first answer of an attempt, or 0 if none
 // was observed.
-func (e *Escalator) ExpectedLatency(a Attempt) time.Duration { return e.latencies[a.key()].average }
+func (e *Escalator) ExpectedLatency(a Attempt) time.Duration {
+	if l := e.latencies[a.key()]; l != nil {
+		return seconds(l.y)
+	}
+	return 0
+}
 
-// firstEvent returns the time to the first event that is to be expected with a prompt. It
-// grows at most as the prompt does.
+// firstEvent returns the time to the first event that is to be expected with a prompt.
 func (e *Escalator) firstEvent(a Attempt, tokens int) time.Duration {
 	l := e.latencies[a.key()]
-	expected := latencyMargin * float64(l.average)
-	if l.tokens > 0 {
-		expected *= max(1, float64(tokens)/l.tokens)
+	if l == nil {
+		return 0
 	}
-	return time.Duration(expected)
+	return seconds(latencyMargin * (l.y + max(0, l.slope())*max(0, float64(tokens)-l.x)))
 }
 
 // RecordStep records the confidences of two models in their answers to one request.
@@ -129,18 +124,25 @@
 	}
 	m := e.steps[step{from, to}]
 	if m == nil {
-		m = &moments{mean: trialStep, deviation: trialStep}
+		first := firstStep
+		m = &first
 		e.steps[step{from, to}] = m
 	}
 	m.add(float64(after-before), stepWeight)
 }
 
-// expectedConfidence returns the confidence that a larger model is expected to have.
-func (e *Escalator) expectedConfidence(from, to string, confidence int) float64 {
-	if m := e.steps[step{from, to}]; m != nil {
-		return float64(confidence) + m.mean
+// expectedConfidence returns the confidence that a larger model is expected to have. Without
+// strain it is what most answers have at least.
+func (e *Escalator) expectedConfidence(from, to string, confidence int, strained bool) float64 {
+	m := e.steps[step{from, to}]
+	if m == nil {
+		m = &firstStep
+	}
+	expected := float64(confidence) + m.mean
+	if !strained {
+		expected -= m.deviation / 2
 	}
-	return float64(confidence) + trialStep
+	return expected
 }
 
 // EscalateParams are the inputs to the decision whether a larger model is
@@ -200,12 +202,11 @@
 // chooseLarger decides which larger model is asked, if one serves.
 func (e *Escalator) chooseLarger(p EscalateParams, d Decision) Decision {
 	for i, model := range p.Larger {
-		first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
-		if i < len(p.Larger)-1 && e.expectedConfidence(p.Model, model, p.Confidence) < minConfidence {
+		if i < len(p.Larger)-1 && e.expectedConfidence(p.Model, model, p.Confidence, d.Required < minConfidence) < minConfidence {
 			continue
 		}
-		d.Outlook = e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft)
-		if d.Reason = e.unfit(p, first, d.Outlook); d.Reason == Escalated {
+		d.Outlook = e.outlook(p, model)
+		if d.Reason = e.unfit(p, model, d.Outlook); d.Reason == Escalated {
 			d.Model = model
 			return d
 		}
@@ -213,10 +214,16 @@
 	return d
 }
 
+// outlook predicts the answer of a model.
+func (e *Escalator) outlook(p EscalateParams, model string) Outlook {
+	return e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens), p.TimeLeft)
+}
+
 // unfit returns why a larger model is not asked, or Escalated.
-func (e *Escalator) unfit(p EscalateParams, first time.Duration, o Outlook) Reason {
+func (e *Escalator) unfit(p EscalateParams, model string, o Outlook) Reason {
+	usual := time.Duration(latencyMargin * float64(e.ExpectedLatency(Attempt{p.Kind, model})))
 	switch {
-	case p.LatencyObjective > 0 && p.Elapsed+first > p.LatencyObjective && p.Confidence >= lateMinConfidence:
+	case p.LatencyObjective > 0 && p.Elapsed+usual > p.LatencyObjective && p.Confidence >= lateMinConfidence:
 		return BeginsLate
 	case o.Chance < minEndChance:
 		return EndsLate
@@ -229,6 +236,5 @@
 // EndsInTime reports whether the answer of a model that is to be asked again still ends
 // before the deadline.
 func (e *Escalator) EndsInTime(p EscalateParams, model string) bool {
-	first := e.firstEvent(Attempt{p.Kind, model}, p.PromptTokens)
-	return e.Outlook(p.Now, model, p.Smallest, p.Kind, p.Length, first, p.TimeLeft).Chance >= minEndChance
+	return e.outlook(p, model).Chance >= minEndChance
 }
--- a/core/cascade/forecast.go
+++ b/core/cascade/forecast.go
@@ -42,18 +42,6 @@
 	return max(l.Max, 1)
 }
 
-// A moments holds a moving mean and a moving mean deviation.
-type moments struct{ mean, deviation float64 }
-
-func (m *moments) add(x, weight float64) {
-	m.deviation += weight * (math.Abs(x-m.mean) - m.deviation)
-	m.mean += weight * (x - m.mean)
-}
-
-// normalDeviation is the standard deviation of a normal distribution as a multiple of its
-// mean deviation.
-const normalDeviation = 1.2533
-
 // A pace is how fast a model writes.
 type pace struct {
 	gap       moments // seconds between events
@@ -68,41 +56,13 @@
 	hinted bool
 }
 
-// lengths is a moving linear regression of the logarithm of the number of events on that of
-// the base: how much the answers of a kind follow what callers say of them.
-type lengths struct {
-	events, base       float64 // means
-	eventsVar, baseVar float64 // variances
-	covariance         float64
-}
-
-// firstLength returns lengths that follow the base, as far as nothing else is known.
-func firstLength(events, base float64) *lengths {
-	return &lengths{events: events, base: base, eventsVar: 2 * firstSpread * firstSpread, baseVar: firstSpread * firstSpread, covariance: firstSpread * firstSpread}
-}
-
-func (l *lengths) add(events, base float64) {
-	e, b := events-l.events, base-l.base
-	l.events += answerWeight * e
-	l.base += answerWeight * b
-	l.eventsVar += answerWeight * (e*e - l.eventsVar)
-	l.baseVar += answerWeight * (b*b - l.baseVar)
-	l.covariance += answerWeight * (e*b - l.covariance)
-}
-
-// predict returns the expected logarithm of the number of events and its standard deviation.
-func (l *lengths) predict(base float64) (mean, deviation float64) {
-	slope := l.covariance / math.Max(l.baseVar, 1e-9)
-	return l.events + slope*(base-l.base), math.Sqrt(math.Max(0, l.eventsVar-slope*l.covariance))
-}
-
 // A Forecast predicts how long the rest of an answer takes, from how long this instance's
 // own answers took: their lengths against what callers estimate, and the times between
 // events of each model at present load. The zero Forecast is ready to use. It is not safe
 // for concurrent use.
 type Forecast struct {
-	paces   map[string]*pace // by model
-	lengths map[lengthKey]*lengths
+	paces   map[string]*pace     // by model
+	lengths map[lengthKey]*trend // of the logarithm of events on that of the base
 }
 
 // RecordSpan records a span of consecutive events of a model: the mean time between them
@@ -152,16 +112,18 @@
 		return
 	}
 	if f.lengths == nil {
-		f.lengths = map[lengthKey]*lengths{}
+		f.lengths = map[lengthKey]*trend{}
 	}
 	key, x, base := lengthKey{kind, l.Hint > 0}, math.Log(float64(events)), math.Log(float64(l.base()))
 	m := f.lengths[key]
 	if m == nil {
-		f.lengths[key] = firstLength(x, base)
+		// As far as nothing else is known, answers follow the base.
+		const v = firstSpread * firstSpread
+		f.lengths[key] = &trend{x: base, y: x, xx: v, yy: 2 * v, xy: v}
 		return
 	}
 	if usual, _ := m.predict(base); !cut || x > usual {
-		m.add(x, base)
+		m.add(base, x, answerWeight)
 	}
 }
 
@@ -214,6 +176,3 @@
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, time.Hour.Seconds()) * float64(time.Second))
 }
-
-// normalShare returns the share of a standard normal distribution below z.
-func normalShare(z float64) float64 { return math.Erfc(-z/math.Sqrt2) / 2 }
