--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -103,6 +103,8 @@
 	switch {
 	case decision.Need > had*(1+raiseMargin):
 		wanted, decision.Why = math.Ceil(decision.Need), "demand-high"
+	case decision.Had < p.last.Bounds.Min:
+		wanted, decision.Why = float64(p.last.Bounds.Min), "below-minimum"
 	case p.callersMiss(now, decision):
 		wanted, decision.Why = math.Ceil(had*(1+missedRaise)), "requests-late"
 	}
--- a/core/scaling/scaling_test.go
+++ b/core/scaling/scaling_test.go
@@ -8,8 +8,10 @@
 
 	"banyanyard/core/duty"
 	"banyanyard/core/load"
+	_ "banyanyard/core/seeded"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // A policy returns the orders for the state of a service.
@@ -267,6 +269,59 @@
 	}
 }
 
+// TestOrdersKeepTheInvariants plays drawn loads with domains that are taken out, lost or
+// silent, roll-outs and holders that are paused.
+func TestOrdersKeepTheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, d := &Planner{}, newDeployment(rapid.IntRange(4, 30).Draw(t, "upstreams"))
+		level, now := 26.0, time.Unix(0, 0)
+		for range 300 {
+			now = now.Add(step)
+			one := &d.view.Domains[rapid.IntRange(0, 2).Draw(t, "domain")]
+			switch rapid.IntRange(0, 60).Draw(t, "event") {
+			case 0:
+				level = float64(rapid.IntRange(0, 300).Draw(t, "level"))
+			case 1:
+				one.Out = !one.Out
+			case 2:
+				one.Serving = 0
+			case 3:
+				one.Age = maxAge + time.Second - one.Age
+			case 4:
+				d.view.RollingOut = !d.view.RollingOut
+			case 5:
+				one.Leaving = 1 - one.Leaving
+			case 6:
+				now = now.Add(maxGap + step)
+			}
+			d.step(now, level, func(now time.Time, v View) (orders []Order) {
+				p.Observe(now, v)
+				for _, made := range p.Decide(now) {
+					checkDecision(t, &v, &made)
+					orders = append(orders, made.Order)
+				}
+				return orders
+			})
+		}
+	})
+}
+
+func checkDecision(t *rapid.T, v *View, made *Decision) {
+	if made.Upstreams < v.Bounds.Min || made.Upstreams > v.Bounds.Max {
+		t.Fatalf("%+v is out of bounds", made)
+	}
+	lowers := made.Why == "demand-low"
+	for i := range v.Domains {
+		d := &v.Domains[i]
+		if d.Name == made.Domain && (d.Out || d.Serving == 0) {
+			t.Fatalf("%+v is for a failure domain without upstreams: %+v", made, d)
+		}
+		if lowers && (d.Out || d.Leaving > 0 || v.RollingOut) {
+			t.Fatalf("%+v lowers too soon: %+v", made, v)
+		}
+	}
+}
+
 func TestNothingIsDecidedWithoutNews(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(20)
