node/exchange: only the larger model's answer shows the difference of confidences

Cause: after a retry that went back to the smallest model, its own confidence was recorded as that of the larger model. Change: recordStep compares the model. Measured: nothing.

--- a/node/exchange/cascade.go
+++ b/node/exchange/cascade.go
@@ -77,7 +77,7 @@
 
 // recordStep records the confidence of a larger model that has been asked.
 func (e *execution) recordStep(h Head) {
-	if e.decision.Model == "" || h.Confidence < 0 || e.streamBegun.Load() {
+	if e.decision.Model == "" || e.decision.Model != e.model() || h.Confidence < 0 || e.streamBegun.Load() {
 		return
 	}
 	r := e.router
