core/scaling: late requests raise all failure domains, and orders in a roll-out exceed both versions

Cause: the time of the last raise was that of the service, so that late requests ordered upstreams in the first failure domain only; an order at the maximum could be below what both versions of a roll-out run, and take some away. Change: that time is kept by failure domain; raises are measured against all that serve while a version is rolled out. Measured: TestLateRequestsCallForUpstreams failed before (6, not 10, in the second domain).

--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -94,26 +94,27 @@
 	if !p.needs.covers(now, 2*p.last.Bounds.StartTime) {
 		return false
 	}
-	had := float64(decision.Had)
+	present := decision.Had
 	if p.last.RollingOut {
-		had = float64(max(decision.Had, decision.Serving)) // an order counts both versions
+		present = max(present, decision.Serving) // an order counts both versions
 	}
+	had := float64(present)
 	decision.Need = share * p.expected(now)
 	wanted := 0.0
 	switch {
 	case decision.Need > had*(1+raiseMargin):
 		wanted, decision.Why = math.Ceil(decision.Need), "demand-high"
-	case decision.Had < p.last.Bounds.Min:
+	case present < p.last.Bounds.Min:
 		wanted, decision.Why = float64(p.last.Bounds.Min), "below-minimum"
 	case p.callersMiss(now, decision):
 		wanted, decision.Why = math.Ceil(had*(1+missedRaise)), "requests-late"
 	}
 	b := &p.last.Bounds
 	decision.Upstreams = min(max(int(min(wanted, had*maxRaise)), b.Min), b.Max)
-	if wanted == 0 || decision.Upstreams <= decision.Had {
+	if wanted == 0 || decision.Upstreams <= present {
 		return false
 	}
-	p.raised = now
+	p.domains[decision.Domain].raised = now
 	return true
 }
 
@@ -121,7 +122,7 @@
 // upstreams ordered before have had the time to help.
 func (p *Planner) callersMiss(now time.Time, decision *Decision) bool {
 	return !p.last.RollingOut && decision.Missed > missedShare &&
-		decision.Need > idleLoad*float64(decision.Had) && now.Sub(p.raised) >= p.last.Bounds.lead()+p.last.Bounds.StartTime
+		decision.Need > idleLoad*float64(decision.Had) && now.Sub(p.domains[decision.Domain].raised) >= p.last.Bounds.lead()+p.last.Bounds.StartTime
 }
 
 // expected returns the need for which to order now. What lasts for less than a start time
--- a/core/scaling/planner.go
+++ b/core/scaling/planner.go
@@ -20,8 +20,7 @@
 	needs   history   // upstreams needed in all failure domains
 	misses  history   // share of late or refused requests
 	domains map[string]*domainPlan
-	raised  time.Time // when more upstreams were ordered last
-	lowered time.Time // when fewer were
+	lowered time.Time // when fewer upstreams were ordered last
 }
 
 // A domainPlan is what a Planner keeps for a failure domain.
@@ -31,6 +30,7 @@
 	// successors may be starting.
 	ordered int
 	own     bool      // this holder has made an order
+	raised  time.Time // when it ordered more upstreams last
 	demand  history   // attempts in progress
 	missing time.Time // since when the domain has no upstreams; zero if it has
 	differs time.Time // since when other than the ordered number serve; zero if they don't
--- a/core/scaling/scaling_test.go
+++ b/core/scaling/scaling_test.go
@@ -316,6 +316,9 @@
 		if d.Name == made.Domain && (d.Out || d.Serving == 0) {
 			t.Fatalf("%+v is for a failure domain without upstreams: %+v", made, d)
 		}
+		if d.Name == made.Domain && v.RollingOut && made.Upstreams < d.Serving {
+			t.Fatalf("%+v takes upstreams from a roll-out: %+v", made, d)
+		}
 		if lowers && (d.Out || d.Leaving > 0 || v.RollingOut) {
 			t.Fatalf("%+v lowers too soon: %+v", made, v)
 		}
@@ -369,7 +372,9 @@
 			return orders
 		})
 	}
-	is.Equal(d.desired["a"], 10) // 6, 8 and 10, a start apart
+	for _, domain := range d.view.Domains {
+		is.Equal(d.desired[domain.Name], 10) // 6, 8 and 10, a start apart
+	}
 }
 
 // TestHolderChanges plays holders that follow one another and know nothing of the orders
