core/placement: prompts go by the work and pace of upstreams, of all instances

Cause: on deployments with dozens of instances and upstreams of 48 or 64 slots each instance went by its own handful of attempts; all sent a prompt's key to the same upstream, and neither unread prompts nor differences in speed counted. Change: core/capacity learns each upstream's pace from answers of the same kind at the same load; core/load carries unread prompt work and evidence of pace; from 16 instances on prompts are divided by size in proportion to engine time, long ones go where what they share is kept, others even out the engine time that this instance has given to each upstream, by pace and headroom. Services without prompts are placed as before.

--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -35,11 +35,11 @@
 			now := start.Add(time.Duration(round) * 100 * time.Millisecond)
 			for _, m := range members {
 				for _, child := range relay.Children(root, m, members) {
-					collectors[m].Put(now, root, child, collectors[child].Total(now, root, own[child]))
+					collectors[m].Put(now, root, child, collectors[child].Total(now, root, Sum{Running: own[child]}))
 				}
 			}
 		}
-		total := collectors[root].Total(start.Add(time.Second), root, own[root])
+		total := collectors[root].Total(start.Add(time.Second), root, Sum{Running: own[root]})
 		if total.Instances != len(members) {
 			t.Fatalf("%d instances, want %d", total.Instances, len(members))
 		}
@@ -55,7 +55,7 @@
 	is := is.New(t)
 	var c Collector
 	c.Put(start, "root", "child", Sum{Instances: 2, Running: map[string]int{"u": 3}})
-	is.Equal(c.Total(start.Add(time.Second), "root", map[string]int{"u": 1}), Sum{Instances: 3, Running: map[string]int{"u": 4}})
-	is.Equal(c.Total(start.Add(time.Second), "another root", nil), Sum{Instances: 1})
-	is.Equal(c.Total(start.Add(3*time.Second), "root", map[string]int{"u": 1}), Sum{Instances: 1, Running: map[string]int{"u": 1}})
+	is.Equal(c.Total(start.Add(time.Second), "root", Sum{Running: map[string]int{"u": 1}}), Sum{Instances: 3, Age: 2 * time.Second / 3, Running: map[string]int{"u": 4}})
+	is.Equal(c.Total(start.Add(time.Second), "another root", Sum{}), Sum{Instances: 1})
+	is.Equal(c.Total(start.Add(3*time.Second), "root", Sum{Running: map[string]int{"u": 1}}), Sum{Instances: 1, Running: map[string]int{"u": 1}})
 }
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"banyanyard/core/capacity"
 )
 
 // An Upstream is the registration of an upstream.
@@ -33,6 +35,8 @@
 	warmthUnknown   map[string]time.Time     // failure domains that were taken back, with the time; see SetWarmthUnknown
 	domainHealths   map[string]*domainHealth // by failure domain
 	loadSetAt       time.Time                // when SetLoad was last called; zero if never
+	meter           capacity.Meter           // how fast upstreams are, as this instance has observed
+	loadAge         time.Duration            // age of its news then
 	random          *rand.Rand
 	memberRound     int       // incremented when instanceNames changes
 	firstRegistered time.Time // when the first upstream was registered
@@ -43,6 +47,7 @@
 	upstreams []*upstream // sorted by ID
 	errorRate movingRate  // over all its upstreams
 	partition promptPartition
+	engine    engine
 }
 
 // New returns an empty fleet for an instance in the given failure domain.
@@ -117,7 +122,7 @@
 func (f *Fleet) service(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{partition: newPromptPartition()}
+		s = &service{partition: newPromptPartition(), engine: newEngine()}
 		f.services[name] = s
 	}
 	return s
@@ -138,6 +143,7 @@
 	}
 	if u != nil {
 		f.remove(u)
+		f.meter.Forget(r.ID)
 	}
 	if f.firstRegistered.IsZero() {
 		f.firstRegistered = now
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"banyanyard/core/load"
+
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -326,7 +328,7 @@
 	used := 0
 	for n := range 20 * perSecond {
 		now = now.Add(time.Second / perSecond)
-		f.SetLoad(now, running, instances)
+		f.SetLoad(now, load.Sum{Running: running, Instances: instances})
 		s, _ := f.Pick(now, Criteria{Service: "s", AffinityKey: fmt.Sprint("key-", n%30), PromptWork: 500})
 		if s.u.named.limit.Rate > 0 {
 			used++
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
+
+	"banyanyard/core/load"
 )
 
 const (
@@ -40,19 +43,39 @@
 	domainPreference = 0.25
 )
 
-// SetLoad sets how many attempts the instances of this failure domain run at each
-// upstream, and how many instances these are. The other failure domains are taken
-// to have the same load for each of their instances.
-func (f *Fleet) SetLoad(now time.Time, running map[string]int, instances int) {
-	if instances <= 0 {
+// SetLoad sets the load of the instances of this failure domain. The other failure domains
+// are taken to have the same load for each of their instances.
+func (f *Fleet) SetLoad(now time.Time, s load.Sum) {
+	if s.Instances <= 0 {
 		return
 	}
-	scale := max(1, float64(len(f.instanceNames))/float64(instances))
+	scale := max(1, float64(len(f.instanceNames))/float64(s.Instances))
 	f.loadSetAt = now
+	f.loadAge = s.Age
 	for id, u := range f.byID {
-		u.sharedRunning = scale * float64(running[id])
+		u.sharedRunning = scale * float64(s.Running[id])
 		u.startedSince = 0
+		u.prompts.setShared(scale * load.UnreadUnit * float64(s.Unread[id]))
+	}
+	if s.Pace != nil {
+		f.setPace(s.Pace)
 	}
+	f.updatePredictions(now)
+}
+
+// Load returns the load of this instance, with its evidence of the pace of upstreams if
+// that is asked for.
+func (f *Fleet) Load(now time.Time, pace bool) load.Sum {
+	s := load.Sum{Instances: 1, Running: f.Running(), Unread: map[string]int{}}
+	for id, u := range f.byID {
+		if n := int(math.Round(u.prompts.unread / load.UnreadUnit)); n > 0 {
+			s.Unread[id] = n
+		}
+	}
+	if pace {
+		s.Pace = f.ownPace(now)
+	}
+	return s
 }
 
 // Running returns the attempts of this instance in progress by upstream.
@@ -69,10 +92,13 @@
 // usesSharedLoad reports whether the load of all instances is known and decides
 // among the upstreams.
 func (f *Fleet) usesSharedLoad(now time.Time, us []*upstream) bool {
-	if len(f.instanceNames) < minSharedInstances || float64(us[0].Slots) > maxOwnSlots*float64(len(f.instanceNames)) {
-		return false
-	}
-	return !f.loadSetAt.IsZero() && now.Sub(f.loadSetAt) < sharedLoadTimeout
+	return f.knowsLoad(now) && float64(us[0].Slots) <= maxOwnSlots*float64(len(f.instanceNames))
+}
+
+// knowsLoad reports whether there are so many instances that the load of all matters, and
+// it is known.
+func (f *Fleet) knowsLoad(now time.Time) bool {
+	return len(f.instanceNames) >= minSharedInstances && !f.loadSetAt.IsZero() && now.Sub(f.loadSetAt) < sharedLoadTimeout
 }
 
 // load returns the estimated number of attempts that run at the upstream, from all
--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"banyanyard/core/load"
+
 	"github.com/matryer/is"
 )
 
@@ -80,7 +82,7 @@
 		if p.shared && now.Sub(start)%simulatedInterval == 0 {
 			history[now] = p.running()
 			for _, f := range p.fleets {
-				f.SetLoad(now, history[now.Add(-simulatedLag)], p.instances)
+				f.SetLoad(now, load.Sum{Running: history[now.Add(-simulatedLag)], Instances: p.instances})
 			}
 		}
 		for due += p.perSecond * simulatedTick.Seconds(); due >= 1; due-- {
--- a/core/placement/partition.go
+++ b/core/placement/partition.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -40,7 +39,12 @@
 	if work <= 0 {
 		return us
 	}
-	large := work >= largePromptWork
+	return p.divide(now, us, work >= largePromptWork, work, func(*upstream) float64 { return 1 })
+}
+
+// divide records the work of a prompt, in any unit, and returns the part of the upstreams for
+// prompts of its size. The parts are in proportion to the work by what the upstreams can do.
+func (p *promptPartition) divide(now time.Time, us []*upstream, large bool, work float64, capacity func(*upstream) float64) []*upstream {
 	if large {
 		p.largeSum.Add(now, work)
 	} else {
@@ -49,11 +53,15 @@
 	if len(us) < 2 {
 		return us
 	}
-	inLarge, inSmall := p.largeSum.Sum(now), p.smallSum.Sum(now)
-	n := int(math.Round(float64(len(us)) * inLarge / (inLarge + inSmall)))
-	n = max(1, min(n, len(us)-1))
 	ordered := slices.Clone(us)
 	slices.SortFunc(ordered, func(a, b *upstream) int { return cmp.Compare(a.partitionRank, b.partitionRank) })
+	inLarge, inSmall := p.largeSum.Sum(now), p.smallSum.Sum(now)
+	left := float64(len(us)) * mean(us, capacity) * inLarge / (inLarge + inSmall)
+	n := 0
+	for ; n < len(ordered) && left >= capacity(ordered[n])/2; n++ {
+		left -= capacity(ordered[n])
+	}
+	n = max(1, min(n, len(us)-1))
 	if large {
 		return ordered[:n]
 	}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -22,6 +22,8 @@
 	// upstream; empty if no other request does.
 	AffinityKey    string
 	PromptWork     float64                   // prefill work, in prompt tokens of the largest model; 0 without a prompt
+	SharedWork     float64                   // part of PromptWork that an upstream is spared that keeps what AffinityKey stands for
+	Kind           string                    // requests of a kind take equally long, but for their prompts; see Fleet.RecordHead
 	Exclude        []string                  // IDs of upstreams that have already had the request
 	AcceptsVersion func(version string) bool // nil accepts every version
 	// Isolate makes the attempt run where the fewest others do, because it may crash the
@@ -39,8 +41,14 @@
 	// one; -1 if only this instance's are known. LoadAge is the age of the estimate.
 	Load    float64
 	LoadAge time.Duration
+	// Unread is the estimated prompt work of all instances that was still to be read there,
+	// and Slowness how many times as long as typical peers the upstream was believed to take.
+	// Both are 0 without a prompt.
+	Unread   float64
+	Slowness float64
 
-	u *upstream
+	u      *upstream
+	prompt promptAttempt
 }
 
 // A PickResult says whether an upstream was picked and, if not, why.
@@ -90,14 +98,21 @@
 	available = prefer(available, func(u *upstream) bool { return !u.isOutlier(now, limit) })
 	available = prefer(available, func(u *upstream) bool { return !now.Before(u.refusingUntil) })
 	if c.Isolate {
-		return f.reserve(now, f.emptiest(now, available)), Picked
+		return f.reserve(now, f.emptiest(now, available), c), Picked
+	}
+	if f.choosesByDelay(c) {
+		u, kept := f.chooseByDelay(now, s, available, c)
+		if !kept {
+			c.SharedWork = 0
+		}
+		return f.reserve(now, u, c), Picked
 	}
 	part := s.partition.upstreamsFor(now, available, c.PromptWork)
 	if f.usesSharedLoad(now, available) {
 		part = f.relieve(part, available)
 	}
 	available = part
-	return f.reserve(now, f.choose(now, available, c.AffinityKey)), Picked
+	return f.reserve(now, f.choose(now, available, c.AffinityKey), c), Picked
 }
 
 // choose returns one of the upstreams by their load and the affinity key.
@@ -199,7 +214,7 @@
 	return best
 }
 
-func (f *Fleet) reserve(now time.Time, u *upstream) *Slot {
+func (f *Fleet) reserve(now time.Time, u *upstream, c Criteria) *Slot {
 	f.domainHealth(u.FailureDomain).noteAttempt(now, u.ID)
 	u.runningAttempts++
 	u.totalAttempts++
@@ -207,7 +222,10 @@
 	u.startedSince++
 	f.spend(now, f.service(u.Service), u)
 	slot := &Slot{Upstream: u.Upstream, Cold: f.isCold(now, u), Running: u.runningAttempts, Load: -1, u: u}
-	if f.usesSharedLoad(now, []*upstream{u}) {
+	if c.PromptWork > 0 {
+		f.beginPrompt(now, slot, c)
+	}
+	if f.choosesByDelay(c) && f.knowsLoad(now) || f.usesSharedLoad(now, []*upstream{u}) {
 		slot.Load = u.load()
 		slot.LoadAge = now.Sub(f.loadSetAt)
 	}
@@ -257,6 +275,7 @@
 func (f *Fleet) Release(now time.Time, slot *Slot, o Outcome) {
 	u := slot.u
 	u.runningAttempts--
+	slot.endReading()
 	s := f.service(u.Service)
 	switch o {
 	case Canceled:
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -49,6 +49,11 @@
 	runningAttempts int     // attempts of this instance in progress
 	sharedRunning   float64 // estimated attempts of all instances in progress; see Fleet.SetLoad
 	startedSince    int     // attempts of this instance that started after that estimate
+	prompts         promptLoad
+	slowness        float64    // against typical peers, as all instances have observed; 0 if unknown
+	headroom        float64    // part of its usual requests that it is to get, by the news; 0 if unknown
+	affinityWeight  float64    // share of the affinity keys of which it is the first
+	assigned        decayedSum // engine time that this instance has given to it, in seconds of typical pace
 	lastAttempt     time.Time
 	lastOutcome     time.Time
 	connectFailures int // attempts in a row that could not reach it
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -114,6 +114,8 @@
 	Age *time.Duration `json:"age,omitempty"`
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
+	// AsksPace asks for a load that is also about the pace of upstreams.
+	AsksPace bool `json:"asks-pace,omitempty"`
 }
 
 // A RowResult answers a RowUpdate.
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -50,6 +50,15 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// SharedTokens returns the number of tokens in the parts up to the one that CacheKey names.
+func (p *Prompt) SharedTokens() int {
+	shared := 0
+	for i := range len(p.Parts) - 1 {
+		shared += p.Parts[i].Tokens
+	}
+	return min(shared, p.Tokens)
+}
+
 // PartIDs returns the IDs of the parts, separated by commas.
 func (p *Prompt) PartIDs() string {
 	ids := make([]string, len(p.Parts))
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -64,6 +64,9 @@
 	if slot.Load >= 0 {
 		line.Int("load", int64(math.Round(slot.Load))).Millis("load-age-ms", slot.LoadAge)
 	}
+	if slot.Slowness > 0 {
+		line.Int("unread-tokens", int64(math.Round(slot.Unread))).Int("slowness-percent", int64(math.Round(100*slot.Slowness)))
+	}
 	if len(e.models) > 0 {
 		line.Str("model", e.models[e.modelIndex]).Bool("escalated", result.escalate)
 	}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -214,6 +215,16 @@
 	return r.escalator(service).Escalate(q) && r.retryBudget(service).Spend(time.Now())
 }
 
+// recordHead records that an answer with a prompt began after a time.
+func (r *Router) recordHead(slot *placement.Slot, head Head, took time.Duration) {
+	if head.Status >= http.StatusMultipleChoices || head.NotRun || head.Misdirected {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordHead(time.Now(), slot, took)
+}
+
 // headTimeout returns how long to wait for the head of the answer to an attempt of
 // a kind before the request is retried at another upstream.
 func (r *Router) headTimeout(service, kind string, objective time.Duration) time.Duration {
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -193,16 +193,18 @@
 	return placement.Criteria{
 		Service:     q.Service,
 		AffinityKey: q.Prompt.CacheKey(),
-		PromptWork:  e.promptWork(),
+		PromptWork:  e.promptWork(e.request.Prompt.Tokens),
+		SharedWork:  e.promptWork(e.request.Prompt.SharedTokens()),
+		Kind:        e.kind(),
 		Exclude:     e.tried,
 		Isolate:     e.probe || e.mayCrash || e.router.crashes.isSuspected(e),
 	}
 }
 
-// promptWork returns the work of reading the prompt, in tokens of the largest
+// promptWork returns the work of reading prompt tokens, in tokens of the largest
 // model. The work per token of a model is taken to be proportional to its price.
-func (e *execution) promptWork() float64 {
-	tokens := float64(e.request.Prompt.Tokens)
+func (e *execution) promptWork(promptTokens int) float64 {
+	tokens := float64(promptTokens)
 	if len(e.models) == 0 {
 		return tokens
 	}
@@ -254,6 +256,7 @@
 	e.router.recordLimit(slot, answer.Head(), start)
 	e.router.recordAdmission(slot, answer.Head())
 	headLatency := time.Since(start)
+	e.router.recordHead(slot, answer.Head(), headLatency)
 	result := e.receive(ctx, answer, slot)
 	result.took = time.Since(start)
 	result.status = answer.Head().Status
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -286,6 +286,7 @@
 func (r *Router) recordEventGap(e *execution, s *placement.Slot, eventGap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.fleet.RecordPace(time.Now(), s, eventGap)
 	t := r.trials[e.request.Service]
 	o := trial.Observation{Kind: e.kind(), Duration: eventGap, Cold: s.Cold}
 	o.New = t != nil && s.Upstream.Version == t.Order.To
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -73,8 +73,9 @@
 	// HandleRow takes a row from another instance. Its data is empty if the row was
 	// removed; as far as that instance knows, it may be written again within the given time.
 	HandleRow(e gossip.Entry, mayReturnWithin time.Duration)
-	// RunningAttempts returns the attempts of this instance in progress, by upstream.
-	RunningAttempts() map[string]int
+	// OwnLoad returns the load of this instance, with what it knows of the pace of upstreams
+	// if that is asked for.
+	OwnLoad(pace bool) load.Sum
 	// HandleLoad takes the load of the instances of this failure domain.
 	HandleLoad(l load.Sum)
 }
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -26,6 +26,8 @@
 	// relayInterval is the longest time between two relays to the same
 	// instance.
 	relayInterval = 500 * time.Millisecond
+	// paceRelays is the number of relays of which one is about the pace of upstreams.
+	paceRelays = 3
 	// relayTimeout bounds a relay.
 	relayTimeout = time.Second
 	// pullDelay is the age of its rows from which on an instance asks others for theirs:
@@ -332,9 +334,10 @@
 		Stream: s.mesh.self.ID, Number: s.relayNumber,
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
-		Age:  ageOf(now, s.mesh.store.AsOf()),
-		Load: s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.RunningAttempts()),
+		Age: ageOf(now, s.mesh.store.AsOf()),
 	}
+	message.AsksPace = s.relayNumber%paceRelays == 0
+	message.Load = s.loads.Total(now, s.mesh.self.Instance, s.mesh.events.OwnLoad(message.AsksPace))
 	s.mesh.events.HandleLoad(message.Load)
 	bundle, err := peer.NewBundle(s.unsentRows)
 	if err != nil {
@@ -413,7 +416,7 @@
 		}
 		s.compareIfDiffering(now, message.From, message.RareChecksum, message.FrequentChecksum, true)
 		s.mesh.events.HandleLoad(message.Load)
-		return peer.RowResult{Load: s.loads.Total(now, message.Root, s.mesh.events.RunningAttempts())}
+		return peer.RowResult{Load: s.loads.Total(now, message.Root, s.mesh.events.OwnLoad(message.AsksPace))}
 	})
 }
 
