core/placement: small prompts keep room in the division by size

Change: large prompts leave their part only if prompts wait there; small ones count one and a half times.

--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -59,3 +59,17 @@
 	is.Equal(c.Total(start.Add(time.Second), "another root", Sum{}), Sum{Instances: 1})
 	is.Equal(c.Total(start.Add(3*time.Second), "root", Sum{Running: map[string]int{"u": 1}}), Sum{Instances: 1, Running: map[string]int{"u": 1}})
 }
+
+// TestPaceOutlastsSumsWithoutIt keeps what a child said of the pace of upstreams until it
+// says it again.
+func TestPaceOutlastsSumsWithoutIt(t *testing.T) {
+	is := is.New(t)
+	var c Collector
+	pace := map[string]Pace{"u": {10, 5, 3}}
+	c.Put(start, "root", "child", Sum{Instances: 1, Pace: pace})
+	c.Put(start.Add(time.Second), "root", "child", Sum{Instances: 1})
+	is.Equal(c.Total(start.Add(time.Second), "root", Sum{}).Pace, nil)
+	is.Equal(c.Total(start.Add(time.Second), "root", Sum{Pace: pace}).Pace["u"], Pace{20, 10, 6})
+	c.Put(start.Add(2*paceRetention), "root", "child", Sum{Instances: 1})
+	is.Equal(c.Total(start.Add(2*paceRetention), "root", Sum{Pace: pace}).Pace["u"], pace["u"])
+}
--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -9,7 +9,10 @@
 	// minSharedPart is the part of a prompt that must be shared for the prompt to go where
 	// that part is kept.
 	minSharedPart = 0.3
-	// reliefTime is the predicted delay above twice that of most at which a part of the
+	// smallReserve is the multiple of their work that small prompts count for in the division:
+	// their callers wait for less, so that their part needs room for peaks.
+	smallReserve = 1.5
+	// reliefTime is the predicted wait above twice that of most at which a part of the
 	// upstreams gets only the requests of its size that fit nowhere else.
 	reliefTime = time.Second
 	// assignedHalfLife is the time after which work that was given to an upstream counts half.
@@ -32,8 +35,13 @@
 	if f.crossingDraw(c.AffinityKey) >= s.engine.crossing {
 		us = f.local(us)
 	}
-	part := s.partition.divide(now, us, c.PromptWork >= largePromptWork, s.engine.seconds(c.PromptWork), (*upstream).pace)
-	us = f.relievePart(s, part, us)
+	large := c.PromptWork >= largePromptWork
+	work := s.engine.seconds(c.PromptWork)
+	if !large {
+		work *= smallReserve
+	}
+	part := s.partition.divide(now, us, large, work, (*upstream).pace)
+	us = f.relievePart(&s.engine, part, us, large)
 	if c.AffinityKey != "" && c.SharedWork >= minSharedPart*c.PromptWork {
 		if first := firstOf(us, c.AffinityKey); f.random.Float64() < f.headroom(now, first) {
 			return first, true
@@ -43,9 +51,14 @@
 }
 
 // relievePart returns the part of the upstreams for prompts of a size, or all instead, the more
-// probably the longer prompts wait there.
-func (f *Fleet) relievePart(s *service, part, all []*upstream) []*upstream {
-	if over := median(part, s.engine.delay) - 2*median(all, s.engine.delay); f.random.Float64() < over/reliefTime.Seconds() {
+// probably the more is to be done there. A small prompt holds nobody up, so that streams count
+// for it, too; a large one stays unless prompts wait.
+func (f *Fleet) relievePart(e *engine, part, all []*upstream, large bool) []*upstream {
+	measure := e.delay
+	if large {
+		measure = e.wait
+	}
+	if over := median(part, measure) - 2*median(all, measure); f.random.Float64() < over/reliefTime.Seconds() {
 		return all
 	}
 	return part
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -18,6 +18,7 @@
 	utilisation float64
 	policy      string
 	newsAge     time.Duration
+	seed        uint64
 	// trouble changes the deployment half way.
 	trouble func(m *mix, now time.Time)
 
@@ -26,6 +27,7 @@
 	engines   map[string]*mixEngine
 	ids       []string
 	requests  []*mixRequest
+	news      []load.Sum
 	newsStops bool
 }
 
@@ -52,22 +54,23 @@
 }
 
 const (
-	mixInstances = 48
-	mixUpstreams = 36
-	mixReadRate  = 50_000.0 // tokens a second at speed 1
-	mixStep      = 0.003    // seconds that a step takes
-	mixBeside    = 0.0001   // more for each stream
-	mixPiece     = 2_000.0  // tokens that are read in a step
-	mixSlots     = 64
-	mixEvents    = 30
-	mixTokens    = 8 // in an event
-	mixTick      = 10 * time.Millisecond
-	mixTime      = 50 * time.Second
-	mixWarmUp    = 12 * time.Second
-	mixShortAim  = time.Second
-	mixLongAim   = 4 * time.Second
-	mixLongShare = 0.3
-	mixPatience  = 4 // times the aim after which a caller leaves whose answer has not begun
+	mixInstances    = 48
+	mixUpstreams    = 36
+	mixReadRate     = 50_000.0 // tokens a second at speed 1
+	mixStep         = 0.003    // seconds that a step takes
+	mixBeside       = 0.0001   // more for each stream
+	mixPiece        = 2_000.0  // tokens that are read in a step
+	mixSlots        = 64
+	mixEvents       = 30
+	mixTokens       = 8 // in an event
+	mixNewsInterval = 500 * time.Millisecond
+	mixTick         = 10 * time.Millisecond
+	mixTime         = 50 * time.Second
+	mixWarmUp       = 12 * time.Second
+	mixShortAim     = time.Second
+	mixLongAim      = 4 * time.Second
+	mixLongShare    = 0.3
+	mixPatience     = 4 // times the aim after which a caller leaves whose answer has not begun
 	// mixMeanWork is the time that an upstream of speed 1 takes for the prompt of a request
 	// on average if half of the shared parts are kept, and for its tokens in a full batch.
 	mixMeanWork = (mixLongShare*(5_000/2+6_500)+(1-mixLongShare)*900)/mixReadRate + mixEvents*mixTokens*(mixStep/mixSlots+mixBeside)
@@ -75,15 +78,16 @@
 
 var mixSpeeds = []float64{0.6, 1, 1.6}
 
-func (m *mix) play() {
-	m.random = rand.New(rand.NewPCG(3, 4))
+// prepare registers the upstreams at all instances.
+func (m *mix) prepare() {
+	m.random = rand.New(rand.NewPCG(3, m.seed))
 	m.engines = map[string]*mixEngine{}
 	names := make([]string, mixInstances)
 	for i := range names {
 		names[i] = fmt.Sprint("entry-", i)
 	}
-	for i := range names {
-		f := New(names[i], fmt.Sprint("d", i%3))
+	for i, name := range names {
+		f := New(name, fmt.Sprint("d", i%3))
 		f.SetInstances(names)
 		m.fleets = append(m.fleets, f)
 	}
@@ -92,28 +96,24 @@
 		m.ids = append(m.ids, id)
 		m.engines[id] = &mixEngine{speed: mixSpeeds[m.random.IntN(len(mixSpeeds))], kept: map[string]time.Time{}}
 		for _, f := range m.fleets {
-			f.Register(start, Upstream{ID: id, Service: "s", Address: id, FailureDomain: fmt.Sprint("d", i%3), Slots: 64})
+			f.Register(start, Upstream{ID: id, Service: "s", Address: id, FailureDomain: fmt.Sprint("d", i%3), Slots: mixSlots})
 		}
 	}
-	capacity := 0.0
+}
+
+func (m *mix) play() {
+	m.prepare()
+	perTick := 0.0
 	for _, e := range m.engines {
-		capacity += e.speed
+		perTick += e.speed * m.utilisation / mixMeanWork * mixTick.Seconds()
 	}
-	perTick := m.utilisation * capacity / mixMeanWork * mixTick.Seconds()
 	due := 0.0
-	var news []load.Sum
 	for now := start; now.Before(start.Add(mixTime)); now = now.Add(mixTick) {
 		if now.Equal(start.Add(mixTime/2)) && m.trouble != nil {
 			m.trouble(m, now)
 		}
-		if now.Sub(start)%(500*time.Millisecond) == 0 && m.policy == "by delay" {
-			news = append(news, m.sum(now))
-			if at := len(news) - 1 - int(m.newsAge/(500*time.Millisecond)); at >= 0 && !m.newsStops {
-				news[at].Age = m.newsAge
-				for _, f := range m.fleets {
-					f.SetLoad(now, news[at])
-				}
-			}
+		if now.Sub(start)%mixNewsInterval == 0 && m.policy == "by delay" {
+			m.tellNews(now)
 		}
 		if due += perTick; now.Before(start.Add(mixWarmUp / 2)) {
 			due -= perTick * (1 - min(1, 0.5/m.utilisation))
@@ -122,11 +122,24 @@
 			m.arrive(now)
 		}
 		for _, id := range m.ids {
-			m.engines[id].work(m, now)
+			m.engines[id].work(now)
 		}
 	}
 }
 
+// tellNews tells all instances the load of newsAge ago.
+func (m *mix) tellNews(now time.Time) {
+	m.news = append(m.news, m.sum(now))
+	at := len(m.news) - 1 - int(m.newsAge/mixNewsInterval)
+	if at < 0 || m.newsStops {
+		return
+	}
+	m.news[at].Age = m.newsAge
+	for _, f := range m.fleets {
+		f.SetLoad(now, m.news[at])
+	}
+}
+
 // sum returns the load of all instances.
 func (m *mix) sum(now time.Time) (total load.Sum) {
 	for _, f := range m.fleets {
@@ -178,7 +191,7 @@
 
 // work lets an engine work for one tick. With each step it reads a piece of the first prompt
 // and writes a token of each stream.
-func (e *mixEngine) work(m *mix, now time.Time) {
+func (e *mixEngine) work(now time.Time) {
 	e.queue = slices.DeleteFunc(e.queue, func(r *mixRequest) bool {
 		left := now.Sub(r.arrived) > mixPatience*r.aim()
 		if left {
@@ -352,3 +365,19 @@
 		})
 	}
 }
+
+// TestExpect tells the wait at an upstream with unread prompts.
+func TestExpect(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.SetLoad(start, load.Sum{Instances: 1, Running: map[string]int{"u0": 4}, Unread: map[string]int{"u0": 500}, Pace: map[string]load.Pace{"u0": {1000, 690, 500}}})
+	busy, _ := f.Expect(start.Add(time.Second), "u0")
+	free, _ := f.Expect(start.Add(time.Second), "u1")
+	is.True(busy.Slowness > 1.5 && free.Slowness == 1)
+	is.True(busy.Wait > 10*free.Wait)
+	is.True(busy.Gap > free.Gap)
+	is.Equal(busy.Unread, 50_000.0)
+	is.Equal(busy.Age, time.Second)
+	_, known := f.Expect(start, "u9")
+	is.True(!known)
+}
--- a/core/placement/predict.go
+++ b/core/placement/predict.go
@@ -62,9 +62,12 @@
 
 // delay returns the predicted delay at an upstream, in seconds.
 func (e *engine) delay(u *upstream) float64 {
-	return u.slow() * (e.perToken*u.prompts.estimate() + e.perStream*u.load())
+	return e.wait(u) + u.slow()*e.perStream*u.load()
 }
 
+// wait returns the predicted time in which an upstream reads the prompts that it has, in seconds.
+func (e *engine) wait(u *upstream) float64 { return u.slow() * e.perToken * u.prompts.estimate() }
+
 // seconds returns the engine time of an attempt with prompt work at a typical upstream.
 func (e *engine) seconds(work float64) float64 { return e.perToken*work + e.perStream }
 
