core/placement: a failure domain with few upstreams left passes prompts on

Cause: found in review: while most upstreams of a failure domain are of another version or gone, the few that are left got all of its prompts for up to 10 s. Measured: TestFewLocalUpstreamsAreNotOverloaded fails before.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,9 @@
 	// minSharedPart is the part of a prompt that must be shared for the prompt to go where
 	// that part is kept.
 	minSharedPart = 0.3
+	// minLack is the part of an average failure domain's upstreams that may be missing in one
+	// before requests go to others for that.
+	minLack = 0.25
 	// smallReserve is the multiple of their work that small prompts count for in the division:
 	// their callers wait for less, so that their part needs room for peaks.
 	smallReserve = 1.5
@@ -32,8 +36,9 @@
 // anywhere. It reports whether the upstream is expected to keep what the prompt shares.
 func (f *Fleet) chooseByDelay(now time.Time, s *service, us []*upstream, c Criteria) (chosen *upstream, kept bool) {
 	us = preferLimited(us, true)
-	if f.crossingDraw(c.AffinityKey) >= s.engine.crossing {
-		us = f.local(us)
+	local := f.local(us)
+	if f.crossingDraw(c.AffinityKey) >= max(s.engine.crossing, lack(local, us)) {
+		us = local
 	}
 	large := c.PromptWork >= largePromptWork
 	work := s.engine.seconds(c.PromptWork)
@@ -64,6 +69,23 @@
 	return part
 }
 
+// lack returns the part by which the local upstreams can do less than those of a failure domain
+// on average, such as while most of the others are of another version or gone. A small lack
+// counts as none.
+func lack(local, all []*upstream) float64 {
+	var domains []string
+	for _, u := range all {
+		if !slices.Contains(domains, u.FailureDomain) {
+			domains = append(domains, u.FailureDomain)
+		}
+	}
+	can := func(us []*upstream) float64 { return mean(us, (*upstream).pace) * float64(len(us)) }
+	if missing := 1 - can(local)*float64(len(domains))/can(all); missing > minLack {
+		return missing
+	}
+	return 0
+}
+
 // crossingDraw returns a number from 0 to 1 that is below the share of the requests that may go
 // to other failure domains if the request is one of them. It is the same for all requests with
 // an affinity key, so that these stay together.
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -391,3 +391,25 @@
 	_, known := f.Expect(start, "u9")
 	is.True(!known)
 }
+
+// TestFewLocalUpstreamsAreNotOverloaded sends prompts from a failure domain that has one
+// upstream, while the two others have twelve each.
+func TestFewLocalUpstreamsAreNotOverloaded(t *testing.T) {
+	is := is.New(t)
+	m := mix{}
+	m.prepare()
+	f := m.fleets[0]
+	for i, id := range m.ids {
+		if i%3 == 0 && i > 0 {
+			f.Withdraw(id, start)
+		}
+	}
+	local := 0
+	for i := range 1000 {
+		slot, _ := f.Pick(start, Criteria{Service: "s", AffinityKey: fmt.Sprint("prefix-", i), PromptWork: 8_000, SharedWork: 4_000, Kind: "report"})
+		if slot.Upstream.FailureDomain == f.domain {
+			local++
+		}
+	}
+	is.True(local < 250)
+}
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -107,11 +107,7 @@
 		}
 		return f.reserve(now, u, c), Picked
 	}
-	part := s.partition.upstreamsFor(now, available, c.PromptWork)
-	if f.usesSharedLoad(now, available) {
-		part = f.relieve(part, available)
-	}
-	available = part
+	available = s.partition.upstreamsFor(now, available, c.PromptWork)
 	return f.reserve(now, f.choose(now, available, c.AffinityKey), c), Picked
 }
 
