--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -33,7 +33,8 @@
 // upstream in the order of what they share, which keeps it, as far as there is headroom. All
 // others even out the work that this instance has given to each upstream, in proportion to
 // its pace and headroom: each instance does that by itself, so that old news sends no crowd
-// anywhere. It reports whether the upstream is expected to keep what the prompt shares.
+// anywhere. Upstreams at which attempts of this instance still wait for their first event are
+// avoided: nothing else is known as early of a prompt that takes long there. It reports whether the upstream is expected to keep what the prompt shares.
 func (f *Fleet) chooseByDelay(now time.Time, s *service, us []*upstream, c Criteria) (chosen *upstream, kept bool) {
 	us = preferLimited(us, true)
 	local := f.local(us)
@@ -47,6 +48,7 @@
 	}
 	part := s.partition.divide(now, us, large, work, (*upstream).pace)
 	us = f.relievePart(&s.engine, part, us, large)
+	us = prefer(us, func(u *upstream) bool { return u.prompts.unread == 0 })
 	if c.AffinityKey != "" && c.SharedWork >= minSharedPart*c.PromptWork {
 		if first := firstOf(us, c.AffinityKey); f.random.Float64() < f.headroom(now, first) {
 			return first, true
