--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -202,3 +203,13 @@
 	defer r.mu.Unlock()
 	return r.retryBudget(service).Spend(time.Now())
 }
+
+// recordHead records that an answer with a prompt began after a time.
+func (r *Router) recordHead(slot *placement.Slot, head Head, took time.Duration) {
+	if head.Status >= http.StatusMultipleChoices || head.NotRun || head.Misdirected {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordHead(time.Now(), slot, took)
+}
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -26,6 +26,8 @@
 	// relayInterval is the longest time between two relays to the same
 	// instance.
 	relayInterval = 500 * time.Millisecond
+	// paceRelays is the number of relays of which one is about the pace of upstreams.
+	paceRelays = 3
 	// relayTimeout bounds a relay.
 	relayTimeout = time.Second
 	// pullDelay is the age of its rows from which on an instance asks others for theirs:
@@ -332,9 +334,10 @@
 		Stream: s.mesh.self.ID, Number: s.relayNumber,
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
-		Age:  ageOf(now, s.mesh.store.AsOf()),
-		Load: s.totalLoad(now, s.mesh.self.Instance),
+		Age: ageOf(now, s.mesh.store.AsOf()),
 	}
+	message.AsksPace = s.relayNumber%paceRelays == 0
+	message.Load = s.totalLoad(now, s.mesh.self.Instance, message.AsksPace)
 	s.mesh.events.HandleLoad(message.Load)
 	message.Demand = s.recordDemand(now, message.Load.Demand)
 	bundle, err := peer.NewBundle(s.unsentRows)
@@ -417,7 +420,7 @@
 		if len(message.Demand) > 0 {
 			s.mesh.events.HandleDemand(message.Demand)
 		}
-		return peer.RowResult{Load: s.totalLoad(now, message.Root)}
+		return peer.RowResult{Load: s.totalLoad(now, message.Root, message.AsksPace)}
 	})
 }
 
