--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -10,6 +10,9 @@
 	// minSharedPart is the part of a prompt that must be shared for the prompt to go where
 	// that part is kept.
 	minSharedPart = 0.3
+	// randomCandidates is the number of upstreams that are compared, and thus the multiple of
+	// its usual requests that one can get at most.
+	randomCandidates = 3
 	// minLack is the part of an average failure domain's upstreams that may be missing in one
 	// before requests go to others for that.
 	minLack = 0.25
@@ -128,17 +131,16 @@
 	return u.headroom
 }
 
-// leastAssigned returns the upstream that gets the least work a second, for its pace and
-// headroom, if the other instances do as this one and with another attempt of the given work.
-// Long prompts thus go where they are read fast.
+// leastAssigned returns the one of a few random upstreams that gets the least work a second, for
+// its pace and headroom, if the other instances do as this one and with another attempt of the
+// given work. Long prompts thus go where they are read fast. One that has got little so far, such
+// as one that has been cold, gets a bounded multiple of its usual requests from all instances.
 func (f *Fleet) leastAssigned(now time.Time, us []*upstream, seconds float64) *upstream {
-	f.assignToNew(now, us)
 	perSecond := float64(len(f.instanceNames)) * math.Ln2 / assignedHalfLife.Seconds()
 	var best *upstream
 	var least float64
-	offset := f.random.IntN(len(us))
-	for i := range us {
-		u := us[(i+offset)%len(us)]
+	for range randomCandidates {
+		u := us[f.random.IntN(len(us))]
 		if work := (perSecond*u.assigned.at(now) + seconds) * u.slow() / f.headroom(now, u); best == nil || work < least {
 			best, least = u, work
 		}
@@ -146,16 +148,6 @@
 	return best
 }
 
-// assignToNew makes upstreams that have got no work yet start with about the mean of the
-// others, so that they do not get the next requests of all instances.
-func (f *Fleet) assignToNew(now time.Time, us []*upstream) {
-	for _, u := range us {
-		if u.assigned.asOf.IsZero() {
-			u.assigned.add(now, 2*f.random.Float64()*mean(us, func(u *upstream) float64 { return u.assigned.at(now) }))
-		}
-	}
-}
-
 // A decayedSum counts what was added longer ago less. The zero decayedSum is 0.
 type decayedSum struct {
 	sum  float64
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -413,3 +413,32 @@
 	}
 	is.True(local < 250)
 }
+
+// TestReturningUpstreamGetsNoCrowd lets an upstream return that has got no work for a while.
+func TestReturningUpstreamGetsNoCrowd(t *testing.T) {
+	is := is.New(t)
+	m := mix{}
+	m.prepare()
+	back := m.ids[0]
+	got := 0
+	for at := time.Duration(0); at < 6*time.Second; at += 200 * time.Millisecond {
+		now := start.Add(at)
+		for _, f := range m.fleets {
+			switch registration := f.byID[back].Upstream; at {
+			case time.Second:
+				f.Withdraw(back, now)
+			case 5 * time.Second:
+				f.Register(now, registration)
+			}
+			slot, _ := f.Pick(now, Criteria{Service: "s", PromptWork: 1_000, Kind: "question"})
+			if at >= 5*time.Second && slot.Upstream.ID == back {
+				got++
+			}
+			f.RecordHead(now, slot, 50*time.Millisecond)
+			f.Release(now, slot, Completed)
+		}
+	}
+	usual := mixInstances * 5 / mixUpstreams // requests in the second after its return
+	t.Logf("%d requests, usually %d", got, usual)
+	is.True(got <= randomCandidates*usual)
+}
