core/placement: attempts that wait are counted, stale news divides nothing

Cause: found in reading: sums of unread prompt work kept rounding errors, so that an upstream once used could count as one where own attempts wait for good; the division and crossing went on with the last news after it had stopped. Change: attempts that wait are counted; without news for 2 s neither relief nor learnt crossing applies; the pace of upstreams that are gone is forgotten.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -37,11 +37,16 @@
 // others even out the work that this instance has given to each upstream, in proportion to
 // its pace and headroom: each instance does that by itself, so that old news sends no crowd
 // anywhere. Upstreams at which attempts of this instance still wait for their first event are
-// avoided: nothing else is known as early of a prompt that takes long there. It reports whether the upstream is expected to keep what the prompt shares.
+// avoided: nothing else is known as early of a prompt that takes long there. It reports
+// whether the upstream is expected to keep what the prompt shares.
 func (f *Fleet) chooseByDelay(now time.Time, s *service, us []*upstream, c Criteria) (chosen *upstream, kept bool) {
 	us = preferLimited(us, true)
 	local := f.local(us)
-	if f.crossingDraw(c.AffinityKey) >= max(s.engine.crossing, lack(local, us)) {
+	crossing := lack(local, us)
+	if f.knowsLoad(now) {
+		crossing = max(crossing, s.engine.crossing)
+	}
+	if f.crossingDraw(c.AffinityKey) >= crossing {
 		us = local
 	}
 	large := c.PromptWork >= largePromptWork
@@ -50,8 +55,11 @@
 		work *= smallReserve
 	}
 	part := s.partition.divide(now, us, large, work, (*upstream).pace)
-	us = f.relievePart(&s.engine, part, us, large)
-	us = prefer(us, func(u *upstream) bool { return u.prompts.unread == 0 })
+	if f.knowsLoad(now) {
+		part = f.relievePart(&s.engine, part, us, large)
+	}
+	us = part
+	us = prefer(us, func(u *upstream) bool { return u.prompts.waiting == 0 })
 	if c.AffinityKey != "" && c.SharedWork >= minSharedPart*c.PromptWork {
 		if first := firstOf(us, c.AffinityKey); f.random.Float64() < f.headroom(now, first) {
 			return first, true
@@ -125,7 +133,7 @@
 // headroom returns the part of its usual requests that an upstream is to get: 1 if nothing is
 // known of its load.
 func (f *Fleet) headroom(now time.Time, u *upstream) float64 {
-	if u.headroom == 0 || now.Sub(f.loadSetAt) >= sharedLoadTimeout {
+	if u.headroom == 0 || !f.knowsLoad(now) {
 		return 1
 	}
 	return u.headroom
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -143,7 +143,6 @@
 	}
 	if u != nil {
 		f.remove(u)
-		f.meter.Forget(r.ID)
 	}
 	if f.firstRegistered.IsZero() {
 		f.firstRegistered = now
@@ -208,6 +207,7 @@
 
 func (f *Fleet) remove(u *upstream) {
 	delete(f.byID, u.ID)
+	f.meter.Forget(u.ID)
 	s := f.service(u.Service)
 	s.upstreams = slices.DeleteFunc(s.upstreams, func(o *upstream) bool { return o == u })
 }
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -442,3 +442,22 @@
 	t.Logf("%d requests, usually %d", got, usual)
 	is.True(got <= randomCandidates*usual)
 }
+
+// TestWaitingAttemptsAreForgotten begins and ends attempts with prompts in different orders.
+func TestWaitingAttemptsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	var slots []*Slot
+	for i := range 10 {
+		slot, _ := f.Pick(start, Criteria{Service: "s", PromptWork: 0.1 + float64(i)/3, Kind: "question"})
+		slots = append(slots, slot)
+	}
+	for i, slot := range slots {
+		if i%2 == 0 {
+			f.RecordHead(start, slot, time.Millisecond)
+		}
+		f.Release(start, slot, Completed)
+	}
+	is.Equal(slots[0].u.prompts.waiting, 0)
+	is.Equal(slots[0].u.prompts.unread, 0.0)
+}
--- a/core/placement/prompt.go
+++ b/core/placement/prompt.go
@@ -14,6 +14,7 @@
 // A promptLoad is the prompt work that attempts at an upstream have yet to read. While it
 // is read, all streams there are held up.
 type promptLoad struct {
+	waiting      int     // attempts of this instance that have not got their first event
 	unread       float64 // of this instance's attempts
 	startedSince float64 // of those that started after the newest estimate
 	shared       float64 // estimate for all instances; see Fleet.SetLoad
@@ -29,9 +30,9 @@
 
 // A promptAttempt is what an attempt has to read.
 type promptAttempt struct {
-	kind   string
-	unread float64 // 0 once it has been read
-	total  float64 // that was to be read
+	kind    string
+	work    float64 // that was to be read; 0 without a prompt
+	reading bool    // it has not been read yet
 }
 
 // beginPrompt adds the prompt of an attempt that begins to the load of its upstream.
@@ -39,7 +40,8 @@
 	u := slot.u
 	work := c.PromptWork - keptShare*c.SharedWork
 	slot.Unread, slot.Slowness = u.prompts.estimate(), u.slow()
-	slot.prompt = promptAttempt{kind: c.Kind, unread: work, total: work}
+	slot.prompt = promptAttempt{kind: c.Kind, work: work, reading: true}
+	u.prompts.waiting++
 	u.prompts.unread += work
 	u.prompts.startedSince += work
 	u.assigned.add(now, f.service(u.Service).engine.seconds(work))
@@ -47,26 +49,33 @@
 
 // endReading takes the prompt of an attempt off the load of its upstream.
 func (s *Slot) endReading() {
-	s.u.prompts.unread -= s.prompt.unread
-	s.prompt.unread = 0
+	if !s.prompt.reading {
+		return
+	}
+	s.prompt.reading = false
+	l := &s.u.prompts
+	l.unread -= s.prompt.work
+	if l.waiting--; l.waiting == 0 {
+		l.unread = 0 // drops rounding errors
+	}
 }
 
 // RecordHead records that the answer to an attempt with a prompt began after a time, which
 // means that the prompt has been read.
 func (f *Fleet) RecordHead(now time.Time, slot *Slot, took time.Duration) {
 	p := &slot.prompt
-	if p.unread == 0 {
+	if !p.reading {
 		return
 	}
 	slot.endReading()
 	engine := &f.service(slot.u.Service).engine
-	engine.reading.Record(slot.Unread+p.total, took)
-	f.meter.Record(now, slot.u.ID, capacity.Class{Kind: p.kind, Load: capacity.LoadClass((slot.Unread + p.total) / load.UnreadUnit)}, took)
+	engine.reading.Record(slot.Unread+p.work, took)
+	f.meter.Record(now, slot.u.ID, capacity.Class{Kind: p.kind, Load: capacity.LoadClass((slot.Unread + p.work) / load.UnreadUnit)}, took)
 }
 
 // RecordPace records the average time between the events of a stream.
 func (f *Fleet) RecordPace(now time.Time, slot *Slot, gap time.Duration) {
-	if slot.prompt.total == 0 {
+	if slot.prompt.work == 0 {
 		return
 	}
 	beside := max(slot.Load, float64(slot.Running))
