--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -18,7 +18,7 @@
 	minLack = 0.25
 	// smallReserve is the multiple of their work that small prompts count for in the division:
 	// their callers wait for less, so that their part needs room for peaks.
-	smallReserve = 1.5
+	smallReserve = 1.2
 	// reliefTime is the predicted wait above twice that of most at which a part of the
 	// upstreams gets only the requests of its size that fit nowhere else.
 	reliefTime = time.Second
