--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -10,12 +10,15 @@
 	// minSharedPart is the part of a prompt that must be shared for the prompt to go where
 	// that part is kept.
 	minSharedPart = 0.3
+	// randomCandidates is the number of upstreams that are compared, and thus the multiple of
+	// its usual requests that one can get at most.
+	randomCandidates = 3
 	// minLack is the part of an average failure domain's upstreams that may be missing in one
 	// before requests go to others for that.
 	minLack = 0.25
 	// smallReserve is the multiple of their work that small prompts count for in the division:
 	// their callers wait for less, so that their part needs room for peaks.
-	smallReserve = 1.5
+	smallReserve = 1.2
 	// reliefTime is the predicted wait above twice that of most at which a part of the
 	// upstreams gets only the requests of its size that fit nowhere else.
 	reliefTime = time.Second
@@ -34,11 +37,16 @@
 // others even out the work that this instance has given to each upstream, in proportion to
 // its pace and headroom: each instance does that by itself, so that old news sends no crowd
 // anywhere. Upstreams at which attempts of this instance still wait for their first event are
-// avoided: nothing else is known as early of a prompt that takes long there. It reports whether the upstream is expected to keep what the prompt shares.
+// avoided: nothing else is known as early of a prompt that takes long there. It reports
+// whether the upstream is expected to keep what the prompt shares.
 func (f *Fleet) chooseByDelay(now time.Time, s *service, us []*upstream, c Criteria) (chosen *upstream, kept bool) {
 	us = preferLimited(us, true)
 	local := f.local(us)
-	if f.crossingDraw(c.AffinityKey) >= max(s.engine.crossing, lack(local, us)) {
+	crossing := lack(local, us)
+	if f.knowsLoad(now) {
+		crossing = max(crossing, s.engine.crossing)
+	}
+	if f.crossingDraw(c.AffinityKey) >= crossing {
 		us = local
 	}
 	large := c.PromptWork >= largePromptWork
@@ -47,8 +55,11 @@
 		work *= smallReserve
 	}
 	part := s.partition.divide(now, us, large, work, (*upstream).pace)
-	us = f.relievePart(&s.engine, part, us, large)
-	us = prefer(us, func(u *upstream) bool { return u.prompts.unread == 0 })
+	if f.knowsLoad(now) {
+		part = f.relievePart(&s.engine, part, us, large)
+	}
+	us = part
+	us = prefer(us, func(u *upstream) bool { return u.prompts.waiting == 0 })
 	if c.AffinityKey != "" && c.SharedWork >= minSharedPart*c.PromptWork {
 		if first := firstOf(us, c.AffinityKey); f.random.Float64() < f.headroom(now, first) {
 			return first, true
@@ -122,23 +133,22 @@
 // headroom returns the part of its usual requests that an upstream is to get: 1 if nothing is
 // known of its load.
 func (f *Fleet) headroom(now time.Time, u *upstream) float64 {
-	if u.headroom == 0 || now.Sub(f.loadSetAt) >= sharedLoadTimeout {
+	if u.headroom == 0 || !f.knowsLoad(now) {
 		return 1
 	}
 	return u.headroom
 }
 
-// leastAssigned returns the upstream that gets the least work a second, for its pace and
-// headroom, if the other instances do as this one and with another attempt of the given work.
-// Long prompts thus go where they are read fast.
+// leastAssigned returns the one of a few random upstreams that gets the least work a second, for
+// its pace and headroom, if the other instances do as this one and with another attempt of the
+// given work. Long prompts thus go where they are read fast. One that has got little so far, such
+// as one that has been cold, gets a bounded multiple of its usual requests from all instances.
 func (f *Fleet) leastAssigned(now time.Time, us []*upstream, seconds float64) *upstream {
-	f.assignToNew(now, us)
 	perSecond := float64(len(f.instanceNames)) * math.Ln2 / assignedHalfLife.Seconds()
 	var best *upstream
 	var least float64
-	offset := f.random.IntN(len(us))
-	for i := range us {
-		u := us[(i+offset)%len(us)]
+	for range randomCandidates {
+		u := us[f.random.IntN(len(us))]
 		if work := (perSecond*u.assigned.at(now) + seconds) * u.slow() / f.headroom(now, u); best == nil || work < least {
 			best, least = u, work
 		}
@@ -146,16 +156,6 @@
 	return best
 }
 
-// assignToNew makes upstreams that have got no work yet start with about the mean of the
-// others, so that they do not get the next requests of all instances.
-func (f *Fleet) assignToNew(now time.Time, us []*upstream) {
-	for _, u := range us {
-		if u.assigned.asOf.IsZero() {
-			u.assigned.add(now, 2*f.random.Float64()*mean(us, func(u *upstream) float64 { return u.assigned.at(now) }))
-		}
-	}
-}
-
 // A decayedSum counts what was added longer ago less. The zero decayedSum is 0.
 type decayedSum struct {
 	sum  float64
