core/placement: prompts go by delay where upstreams differ in pace

Elsewhere prompts go as before: by affinity, with the division by size, and relieve is back for it. The tests of the mix begin with a service known as uneven.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -27,9 +27,11 @@
 )
 
 // choosesByDelay reports whether an attempt goes by predicted delays: if it has a prompt,
-// and there are so many instances that each sees little of an upstream itself.
+// there are so many instances that each sees little of an upstream itself, and the upstreams
+// of the service are of different pace. Equal ones are told apart by what they keep of a
+// prompt, and each prompt is then read once.
 func (f *Fleet) choosesByDelay(c Criteria) bool {
-	return c.PromptWork > 0 && len(f.instanceNames) >= minSharedInstances
+	return c.PromptWork > 0 && len(f.instanceNames) >= minSharedInstances && f.service(c.Service).uneven
 }
 
 // chooseByDelay returns the upstream for a prompt. Prompts that share much go to the first
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -48,6 +48,7 @@
 	errorRate movingRate  // over all its upstreams
 	partition promptPartition
 	engine    engine
+	uneven    bool // its upstreams are of different pace; see updateUnevenness
 }
 
 // New returns an empty fleet for an instance in the given failure domain.
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -151,6 +151,15 @@
 	return best
 }
 
+// relieve returns the upstreams of a partition, or all instead, the more probably
+// the more requests wait at those of the partition.
+func (f *Fleet) relieve(part, all []*upstream) []*upstream {
+	if over := meanLoad(part) - max(1, meanLoad(all)); f.random.Float64() < over {
+		return all
+	}
+	return part
+}
+
 // groupKey returns the affinity key of this instance's group. The failure domains of
 // the upstreams are groups already, so that the groups of all add up to about
 // maxAffinityGroups.
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -99,6 +99,9 @@
 			f.Register(start, Upstream{ID: id, Service: "s", Address: id, FailureDomain: fmt.Sprint("d", i%3), Slots: mixSlots})
 		}
 	}
+	for _, f := range m.fleets {
+		f.service("s").uneven = true // as learnt before; see TestUnevenUpstreamsAreNoticed
+	}
 }
 
 func (m *mix) play() {
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -107,8 +107,11 @@
 		}
 		return f.reserve(now, u, c), Picked
 	}
-	available = s.partition.upstreamsFor(now, available, c.PromptWork)
-	return f.reserve(now, f.choose(now, available, c.AffinityKey), c), Picked
+	part := s.partition.upstreamsFor(now, available, c.PromptWork)
+	if f.usesSharedLoad(now, available) {
+		part = f.relieve(part, available)
+	}
+	return f.reserve(now, f.choose(now, part, c.AffinityKey), c), Picked
 }
 
 // choose returns one of the upstreams by their load and the affinity key.
--- a/core/placement/prompt.go
+++ b/core/placement/prompt.go
@@ -98,6 +98,7 @@
 // setPace sets how fast upstreams are by the evidence of all instances.
 func (f *Fleet) setPace(paces map[string]load.Pace) {
 	for id, u := range f.byID {
-		u.slowness = paces[id].Evidence().Slowness()
+		e := paces[id].Evidence()
+		u.slowness, u.paceAnswers = e.Slowness(), e.Weight
 	}
 }
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -51,6 +51,7 @@
 	startedSince    int     // attempts of this instance that started after that estimate
 	prompts         promptLoad
 	slowness        float64    // against typical peers, as all instances have observed; 0 if unknown
+	paceAnswers     float64    // recent answers that slowness rests on
 	headroom        float64    // part of its usual requests that it is to get, by the news; 0 if unknown
 	affinityWeight  float64    // share of the affinity keys of which it is the first
 	assigned        decayedSum // engine time that this instance has given to it, in seconds of typical pace
