core/placement: upstreams count as uneven only when they are so for long

Change: a moving average of the ratio over about 5 s decides, from 1.75 and below 1.45. Measured: TestUnevenUpstreamsAreNoticed, with a case that is busy for 2 s.

--- a/core/placement/assign.go
+++ b/core/placement/assign.go
@@ -31,7 +31,7 @@
 // of the service are of different pace. Equal ones are told apart by what they keep of a
 // prompt, and each prompt is then read once.
 func (f *Fleet) choosesByDelay(c Criteria) bool {
-	return c.PromptWork > 0 && len(f.instanceNames) >= minSharedInstances && f.service(c.Service).uneven
+	return c.PromptWork > 0 && len(f.instanceNames) >= minSharedInstances && f.service(c.Service).uneven.holds
 }
 
 // chooseByDelay returns the upstream for a prompt. Prompts that share much go to the first
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -48,7 +48,7 @@
 	errorRate movingRate  // over all its upstreams
 	partition promptPartition
 	engine    engine
-	uneven    bool // its upstreams are of different pace; see updateUnevenness
+	uneven    unevenness
 }
 
 // New returns an empty fleet for an instance in the given failure domain.
--- a/core/placement/mix_test.go
+++ b/core/placement/mix_test.go
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, f := range m.fleets {
-		f.service("s").uneven = true // as learnt before; see TestUnevenUpstreamsAreNoticed
+		f.service("s").uneven = unevenness{ratio: 2.2, holds: true} // as learnt before; see TestUnevenUpstreamsAreNoticed
 	}
 }
 
--- a/core/placement/predict.go
+++ b/core/placement/predict.go
@@ -84,7 +84,7 @@
 func (f *Fleet) updateService(now time.Time, s *service) {
 	e := &s.engine
 	e.update()
-	s.updateUnevenness()
+	s.uneven.update(s.upstreams)
 	usable := prefer(s.upstreams, func(u *upstream) bool { return f.acceptsWork(now, u) })
 	all := median(usable, e.delay)
 	local := median(f.local(usable), e.delay)
