--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -117,6 +117,8 @@
 	// Demand is what the instances of each failure domain see of the services whose
 	// upstreams are ordered.
 	Demand []load.DomainDemand `json:"demand,omitempty"`
+	// AsksPace asks for a load that is also about the pace of upstreams.
+	AsksPace bool `json:"asks-pace,omitempty"`
 }
 
 // A RowResult answers a RowUpdate.
--- a/node/mesh/demand.go
+++ b/node/mesh/demand.go
@@ -17,9 +17,10 @@
 	demandInterval = time.Second
 )
 
-// totalLoad returns the load of this instance and its children in the tree of a root.
-func (s *state) totalLoad(now time.Time, root string) load.Sum {
-	total := s.loads.Total(now, root, s.mesh.events.RunningAttempts())
+// totalLoad returns the load of this instance and its children in the tree of a root, with
+// what they know of the pace of upstreams if that is asked for.
+func (s *state) totalLoad(now time.Time, root string, pace bool) load.Sum {
+	total := s.loads.Total(now, root, s.mesh.events.OwnLoad(pace))
 	total.AddDemand(s.mesh.events.Demand())
 	return total
 }
