core/admission: less urgent prompts are held while more urgent ones would be late

Cause: on the platform's path a request picks an upstream or is refused; nothing waits, and a burst of long prompts makes short, more urgent ones late. Change: a Gate decides on each request with a prompt before its upstream is picked: take, hold for at most a quarter of its latency objective, or refuse if no upstream begins with it in time. placement.Fleet.Room tells what upstreams can do in time.

--- /dev/null
+++ b/core/admission/kinds.go
@@ -0,0 +1,65 @@
+package admission
+
+import "time"
+
+// kindRetention is how long a kind counts without a request of it.
+const kindRetention = 2 * time.Second
+
+// workWeight is the weight of a new prompt in the mean of its kind.
+const workWeight = 1.0 / 16
+
+// A Kind is a class of requests that are alike to a decision.
+type Kind struct {
+	Priority  int
+	Large     bool
+	Objective time.Duration // the smallest seen
+	Work      float64       // mean prompt work, in tokens
+
+	last time.Time
+}
+
+type kindKey struct {
+	priority int
+	large    bool
+}
+
+// kinds are the kinds of request that came recently. Configuration bounds the number of
+// priorities, and so that of the kinds.
+type kinds struct{ byKey map[kindKey]*Kind }
+
+func (s *kinds) record(now time.Time, q Request) {
+	if q.Objective <= 0 {
+		return
+	}
+	key := kindKey{q.Priority, q.Large}
+	k := s.byKey[key]
+	if k == nil || now.Sub(k.last) > kindRetention {
+		if s.byKey == nil {
+			s.byKey = map[kindKey]*Kind{}
+		}
+		k = &Kind{Priority: q.Priority, Large: q.Large, Objective: q.Objective, Work: q.Work}
+		s.byKey[key] = k
+	}
+	k.Objective = min(k.Objective, q.Objective)
+	k.Work += workWeight * (q.Work - k.Work)
+	k.last = now
+}
+
+// recent returns the kinds of which a request came recently, and forgets the others.
+func (s *kinds) recent(now time.Time) []Kind {
+	var recent []Kind
+	for key, k := range s.byKey {
+		if now.Sub(k.last) > kindRetention {
+			delete(s.byKey, key)
+			continue
+		}
+		recent = append(recent, *k)
+	}
+	return recent
+}
+
+// isMoreUrgent reports whether the kind goes before a request. For one beyond the share of its
+// organisation, that includes kinds of the same priority.
+func (k *Kind) isMoreUrgent(t *Ticket) bool {
+	return k.Priority < t.Priority || k.Priority == t.Priority && t.beyondShare
+}
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -23,6 +23,7 @@
 	attempts    *prometheus.CounterVec   // by service and outcome
 	escalations *prometheus.CounterVec   // decisions on larger models, by service and reason
 	refusals    *prometheus.CounterVec   // by kind
+	admissions  *prometheus.CounterVec   // requests not started at once, by service, organisation and decision
 	connections prometheus.Counter
 	// unpublished counts entries for other instances that did not fit the queue.
 	unpublished prometheus.Counter
@@ -40,10 +41,11 @@
 		attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_attempts_total", Help: "Attempts at upstreams by outcome."}, []string{"service", "outcome"}),
 		refusals:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_refusals_total", Help: "Requests that were not answered, by kind."}, []string{"kind"}),
 		escalations: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_escalation_decisions_total", Help: "Decisions whether a larger model is asked, by reason."}, []string{"service", "reason"}),
+		admissions:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_admission_decisions_total", Help: "Requests that were not started at once, by decision."}, []string{"service", "organisation", "decision"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_connections_opened_total", Help: "Connections opened to upstreams."}),
 		unpublished: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_entries_dropped_total", Help: "Gossip entries dropped because the queue was full."}),
 	}
-	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.escalations, m.refusals, m.connections, m.unpublished)
+	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.escalations, m.refusals, m.admissions, m.connections, m.unpublished)
 	return m
 }
 
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"banyanyard/core/admission"
 	"banyanyard/core/cascade"
 	"banyanyard/core/gossip"
 	"banyanyard/core/load"
@@ -56,7 +57,8 @@
 	configuredAt    time.Time                  // when the first routing table was set; guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators  map[string]*cascade.Escalator
-	answerTimes map[string]*answerTime // guarded by mu; by route
+	gates       map[string]*admission.Gate // decide on requests with a prompt; guarded by mu; by service
+	answerTimes map[string]*answerTime     // guarded by mu; by route
 	// domainDemand is what the instances of each failure domain see. Guarded by mu.
 	domainDemand load.Domains
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
@@ -83,6 +85,7 @@
 		withdrawnTrials: map[string]*trial.Trial{},
 		baselines:       map[string]*trial.Baseline{},
 		escalators:      map[string]*cascade.Escalator{},
+		gates:           map[string]*admission.Gate{},
 		answerTimes:     map[string]*answerTime{},
 		sessionLastSeen: map[string]time.Time{},
 		trialStops:      make(chan struct{}, 1),
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -107,6 +107,9 @@
 var ErrTruncated = errors.New("the answer was cut off after part of it had been sent")
 
 func (e *execution) run(ctx context.Context) error {
+	if err := e.admit(ctx); err != nil {
+		return e.finalError(err)
+	}
 	began := time.Now()
 	for {
 		slot, err := e.pickUpstream(ctx)
