core/admission: organisations beyond their share take what others leave

Cause: an instance sees too few requests to know who sends many times its usual. Change: instances add the recent use of organisations to the sums of the load; Shares divide the room by weighted max-min fairness.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -36,9 +36,9 @@
 	// freePressure is the pressure up to which each request is started. At 1, a more urgent
 	// kind of request is expected to be late.
 	freePressure = 0.7
-	// lastingTime is how long a kind must have been expected to be late before requests beyond
-	// an organisation's share are refused.
-	lastingTime = 2 * time.Second
+	// lastingTime is how long there must have been pressure before requests beyond an
+	// organisation's share are refused.
+	lastingTime = time.Second
 	// certainty is how many times as long as its deadline is away the shortest predicted wait
 	// must be for a request to be refused: predictions err.
 	certainty = 2
@@ -122,12 +122,13 @@
 // A Gate decides on the requests for one service at one instance. The zero Gate is ready for
 // use.
 type Gate struct {
+	Shares *Shares // of the organisations, over all services; nil if these have none
+
 	rooms   Rooms
 	roomsAt time.Time
 	kinds   kinds
-	shares  shares
 	held    []*Ticket
-	late    lateness
+	strain  strain
 }
 
 // A Ticket stands for a request from its arrival until it is started, refused or gone.
@@ -148,7 +149,7 @@
 // Arrive records a request. The ticket must be passed to Decide, and to Leave at the end.
 func (g *Gate) Arrive(now time.Time, q Request) *Ticket {
 	g.kinds.record(now, q)
-	g.shares.record(now, q.Organisation, q.Work)
+	g.Shares.record(now, q.Organisation, q.Work)
 	return &Ticket{Request: q}
 }
 
@@ -173,15 +174,16 @@
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, Deadline, g.retryAfter(now, t, room.Shortest)
 		return d
 	}
-	var kind Kind
-	kind, d.Pressure = g.pressure(now, t, reading)
-	t.beyondShare = g.shares.beyond(now, t.Organisation, d.Pressure)
-	if t.beyondShare {
-		kind, d.Pressure = g.pressure(now, t, reading)
+	// Others have a right to the room before an organisation that is beyond its share, unless
+	// they are less urgent.
+	kind, pressure := g.pressure(now, t, t.Priority+1, reading)
+	lasting := g.strain.lasts(now, pressure)
+	if t.beyondShare = t.Draw < g.Shares.beyond(now, t.Organisation, pressure/freePressure); !t.beyondShare {
+		kind, pressure = g.pressure(now, t, t.Priority, reading)
 	}
-	lasting := g.late.lasts(now, d.Pressure)
+	d.Pressure = pressure
 	switch threshold := freePressure + (1-freePressure)*t.Draw; {
-	case d.Pressure > 1 && lasting && t.beyondShare && !t.held && kind.Priority <= t.Priority:
+	case d.Pressure > threshold && lasting && t.beyondShare && !t.held:
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, BeyondShare, g.retryAfter(now, t, room.Wait)
 	case !now.Before(t.heldUntil(room.Wait + reading)):
 		d.Reason = Bound
@@ -222,11 +224,11 @@
 	return t.Arrived.Add(min(share(holdShare), share(slackShare)-predicted))
 }
 
-// pressure returns how near a more urgent kind is to being late if the request is started,
-// and that kind.
-func (g *Gate) pressure(now time.Time, t *Ticket, reading time.Duration) (nearest Kind, pressure float64) {
+// pressure returns how near a kind with a priority below the given one is to being late if the
+// request is started, and that kind.
+func (g *Gate) pressure(now time.Time, t *Ticket, below int, reading time.Duration) (nearest Kind, pressure float64) {
 	for _, k := range g.kinds.recent(now) {
-		if !k.isMoreUrgent(t) {
+		if k.Priority >= below {
 			continue
 		}
 		room := g.rooms.of(k.Large)
@@ -282,14 +284,14 @@
 	return max(min(after, most), min(minRetryAfter, most))
 }
 
-// A lateness tells for how long a kind has been expected to be late.
-type lateness struct {
+// A strain tells for how long there has been pressure.
+type strain struct {
 	since, last time.Time
 }
 
-// lasts records the pressure and reports whether it has been above 1 for some time.
-func (l *lateness) lasts(now time.Time, pressure float64) bool {
-	if pressure > 1 {
+// lasts records the pressure and reports whether it has lasted.
+func (l *strain) lasts(now time.Time, pressure float64) bool {
+	if pressure > freePressure {
 		if l.since.IsZero() || now.Sub(l.last) > lastingTime/2 {
 			l.since = now
 		}
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -22,7 +22,9 @@
 	newsStops   bool // half way
 	// trouble changes the deployment when the burst begins.
 	trouble func(b *burst)
-	hot     string // organisation that sends hotFactor times its usual from the burst on
+	lasts   time.Duration // of the burst
+	alike   bool          // all requests are short and urgent
+	hot     string        // organisation that sends hotFactor times its usual from the burst on
 
 	seed     uint64
 	random   *rand.Rand // of arrivals
@@ -32,17 +34,15 @@
 	news     []float64 // seconds of wait, on average, by the time of the news
 	requests []*burstRequest
 	waiting  []*burstRequest
-	refused  []time.Duration // Retry-After times
 }
 
 type burstRequest struct {
 	Request
-	gate    *Gate
-	ticket  *Ticket
-	begins  time.Time // zero if it was refused
-	started time.Time
-	back    time.Time // when the caller comes back, if it was refused
-	retried bool
+	gate       *Gate
+	ticket     *Ticket
+	begins     time.Time // zero if it was refused
+	started    time.Time
+	retryAfter time.Duration // 0 unless it was refused
 }
 
 const (
@@ -53,8 +53,8 @@
 	burstNewsInterval = 500 * time.Millisecond
 	burstNewsAge      = time.Second
 	burstFrom         = 10 * time.Second
-	burstTo           = 15 * time.Second
-	burstEnd          = 25 * time.Second
+	burstTime         = 5 * time.Second
+	burstAfter        = 10 * time.Second
 	burstUsual        = 0.8
 	hotFactor         = 7.5
 	burstLongShare    = 0.4
@@ -67,19 +67,23 @@
 	b.random = rand.New(rand.NewPCG(b.seed, 2))
 	b.places = rand.New(rand.NewPCG(b.seed, 3))
 	for range burstInstances {
-		b.gates = append(b.gates, &Gate{})
+		b.gates = append(b.gates, &Gate{Shares: &Shares{}})
 	}
 	b.queues = make([]float64, burstUpstreams)
 	mean := burstLongShare*burstLong + (1-burstLongShare)*burstShort
+	if b.alike {
+		mean = burstShort
+	}
+	b.lasts = max(b.lasts, burstTime)
 	due := 0.0
-	for now := start; now.Before(start.Add(burstEnd)); now = now.Add(burstTick) {
+	for now := start; now.Before(start.Add(burstFrom + b.lasts + burstAfter)); now = now.Add(burstTick) {
 		at := now.Sub(start)
-		bursting := at >= burstFrom && at < burstTo
+		bursting := at >= burstFrom && at < burstFrom+b.lasts
 		if at == burstFrom && b.trouble != nil {
 			b.trouble(b)
 		}
 		if at%burstNewsInterval == 0 && !(b.newsStops && at > burstFrom) {
-			b.tell()
+			b.tell(now)
 		}
 		utilisation := burstUsual
 		if bursting {
@@ -95,7 +99,17 @@
 	}
 }
 
-func (b *burst) tell() {
+// tell tells all instances the load, and what organisations have used.
+func (b *burst) tell(now time.Time) {
+	uses := map[string]int{}
+	for _, g := range b.gates {
+		for name, n := range g.Shares.Own(now) {
+			uses[name] += n
+		}
+	}
+	for _, g := range b.gates {
+		g.Shares.Set(now, uses, 1)
+	}
 	total := 0.0
 	for _, q := range b.queues {
 		total += q
@@ -120,7 +134,7 @@
 		Objective:    time.Second, Work: burstShort * (0.5 + b.random.Float64()),
 		Arrived: now, Deadline: now.Add(5 * time.Second), Draw: b.random.Float64(),
 	}}
-	if b.random.Float64() < burstLongShare {
+	if long := b.random.Float64() < burstLongShare; long && !b.alike {
 		r.Priority, r.Objective, r.Work, r.Deadline = 2, 6*time.Second, burstLong*(0.5+b.random.Float64()), now.Add(20*time.Second)
 	}
 	if bursting && b.hot != "" && b.random.Float64() < (hotFactor-1)/(burstOrgs+hotFactor-1) {
@@ -150,7 +164,7 @@
 		}
 		r.gate.Leave(r.ticket)
 		if d.Outcome == Refuse {
-			b.refused = append(b.refused, d.RetryAfter)
+			r.retryAfter = d.RetryAfter
 			return true
 		}
 		i, j := b.places.IntN(len(b.queues)), b.places.IntN(len(b.queues))
@@ -168,7 +182,7 @@
 func (b *burst) inAim(suits func(r *burstRequest) bool) float64 {
 	n, ok := 0.0, 0.0
 	for _, r := range b.requests {
-		if r.Arrived.Sub(start) < burstFrom || r.Arrived.Sub(start) > burstTo+2*time.Second || !suits(r) {
+		if r.Arrived.Sub(start) < burstFrom || r.Arrived.Sub(start) > burstFrom+b.lasts+2*time.Second || !suits(r) {
 			continue
 		}
 		n++
@@ -179,6 +193,7 @@
 	return ok / n
 }
 
+func isUsual(r *burstRequest) bool  { return r.Organisation != "org-1" }
 func isUrgent(r *burstRequest) bool { return r.Priority == 0 }
 func isLong(r *burstRequest) bool   { return r.Priority != 0 }
 
@@ -239,3 +254,75 @@
 
 // maxLoss is the share of requests that may be served worse than without admission.
 const maxLoss = 0.03
+
+// TestHotOrganisation makes one organisation send many times its usual, all of it urgent. The
+// others must be served better for it, and only that one may be refused.
+func TestHotOrganisation(t *testing.T) {
+	is := is.New(t)
+	before, after, plays := compare(burst{utilisation: 1.3, hot: "org-1", alike: true, lasts: 8 * time.Second}, isUsual)
+	t.Logf("others in aim: %.3f started at once, %.3f with admission", before, after)
+	is.True(after >= before+0.1)
+	returns := map[time.Duration]bool{}
+	for _, p := range plays {
+		for _, r := range p.requests {
+			if r.retryAfter == 0 {
+				continue
+			}
+			is.Equal(r.Organisation, "org-1")
+			is.True(r.retryAfter <= r.Deadline.Sub(r.Arrived)/3)
+			returns[r.retryAfter.Truncate(100*time.Millisecond)] = true
+		}
+	}
+	is.True(len(returns) >= 5) // they would return together
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name     string
+		shortest time.Duration
+		left     time.Duration
+		want     Outcome
+	}{
+		{name: "there is time", shortest: time.Second, left: 5 * time.Second, want: Take},
+		{name: "the prediction may err", shortest: 6 * time.Second, left: 5 * time.Second, want: Take},
+		{name: "no upstream begins in time", shortest: 11 * time.Second, left: 5 * time.Second, want: Refuse},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			room := Room{Wait: tt.shortest, Shortest: tt.shortest, PerToken: time.Microsecond, Known: true}
+			g := &Gate{}
+			g.SetRooms(start, Rooms{Small: room, Large: room})
+			d := g.Decide(start, g.Arrive(start, Request{Objective: time.Second, Work: 100, Arrived: start, Deadline: start.Add(tt.left), Draw: 0.5}))
+			is.Equal(d.Outcome, tt.want)
+			is.True(d.RetryAfter <= tt.left/3)
+		})
+	}
+}
+
+// TestHeldRequestsGoByRank holds requests and lets them go.
+func TestHeldRequestsGoByRank(t *testing.T) {
+	is := is.New(t)
+	room := func(wait time.Duration) Rooms {
+		r := Room{Wait: wait, PerToken: time.Microsecond, Known: true}
+		return Rooms{Small: r, Large: r}
+	}
+	g := &Gate{}
+	g.SetRooms(start, room(1200*time.Millisecond))
+	arrive := func(priority int, objective time.Duration) *Ticket {
+		ticket := g.Arrive(start, Request{Priority: priority, Objective: objective, Work: 100, Arrived: start, Deadline: start.Add(20 * time.Second), Draw: 0.5})
+		return ticket
+	}
+	is.Equal(g.Decide(start, arrive(0, time.Second)).Outcome, Take)
+	last, first := arrive(2, 8*time.Second), arrive(1, 8*time.Second)
+	is.Equal(g.Decide(start, last).Outcome, Hold)
+	is.Equal(g.Decide(start, first).Outcome, Hold)
+	now := start.Add(200 * time.Millisecond)
+	g.SetRooms(now, room(0))
+	is.Equal(g.Decide(now, last).Reason, Behind)
+	is.Equal(g.Decide(now, first).Outcome, Take)
+	g.Leave(first)
+	is.Equal(g.Decide(now, last).Outcome, Take)
+	g.Leave(last)
+	is.Equal(len(g.held), 0)
+}
--- a/core/admission/kinds.go
+++ b/core/admission/kinds.go
@@ -57,9 +57,3 @@
 	}
 	return recent
 }
-
-// isMoreUrgent reports whether the kind goes before a request. For one beyond the share of its
-// organisation, that includes kinds of the same priority.
-func (k *Kind) isMoreUrgent(t *Ticket) bool {
-	return k.Priority < t.Priority || k.Priority == t.Priority && t.beyondShare
-}
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -9,123 +11,144 @@
 const (
 	// recentHalfLife and usualHalfLife are the times after which use counts half as recent and
 	// as usual.
-	recentHalfLife = 4 * time.Second
+	recentHalfLife = 2 * time.Second
 	usualHalfLife  = 2 * time.Minute
+	// useTimeout is how long the use of all instances counts without a newer one.
+	useTimeout = 2 * time.Second
 	// minBeyond is the multiple of its usual use below which an organisation is within its
 	// share: chance alone makes use vary.
-	minBeyond = 3.0
-	// requestWork is the work of a request without a prompt, in tokens.
+	minBeyond = 2.0
+	// minKnown is the time for which use must be known before it counts as usual.
+	minKnown = 3 * time.Second
+	// minRecent is the recent use, in UseUnit over all instances, below which an organisation
+	// is within its share.
+	minRecent = 50.0
+	// requestWork is the work of a request besides that of its prompt, in tokens.
 	requestWork = 500.0
-	// minRecentRequests is the recent use, in requests of mean work, from which on an
-	// organisation may be beyond its share.
-	minRecentRequests = 8.0
-	// maxOrganisations bounds the organisations whose use is kept.
-	maxOrganisations = 256
+	// UseUnit is the work, in tokens, in which use is passed on.
+	UseUnit = 1000.0
+	// maxOrganisations bounds the organisations of which instances tell, those with the most
+	// use, and of which they keep the use.
+	maxOrganisations = 32
 )
 
-// shares divide the room among organisations by weighted max-min fairness: each gets what it
-// asks for up to a level that is the same multiple of its usual use for all.
-type shares struct {
-	uses     map[string]*use
-	requests decayed
-	total    decayed
+// Shares divide the room of all instances among organisations by weighted max-min fairness:
+// each gets what it asks for up to a level that is the same multiple of its usual use for all.
+// An organisation that sends many times its usual, repeats at once or keeps one key hot thus
+// gets what the others leave.
+//
+// Instances tell each other the recent use that they see. Without news of that, every
+// organisation is within its share. The zero Shares are ready for use.
+type Shares struct {
+	own   map[string]*decayed
+	all   map[string]*use
+	setAt time.Time // of the newest use of all instances; zero if there is none
+	since time.Time // of the first
 }
 
-// A use is what an organisation has asked for.
+// A use is what an organisation asks of all instances.
 type use struct {
-	recent, usual decayed
-	since         time.Time
+	recent float64 // in UseUnit
+	usual  float64 // average of recent
 }
 
-func (s *shares) record(now time.Time, organisation string, work float64) {
-	if organisation == "" {
+func (u *use) ratio() float64 { return u.recent / max(u.usual, 1) }
+
+func (s *Shares) record(now time.Time, organisation string, work float64) {
+	if s == nil || organisation == "" {
 		return
 	}
-	u := s.uses[organisation]
-	if u == nil {
-		if s.uses == nil {
-			s.uses = map[string]*use{}
-		}
-		s.forgetIdle(now)
-		if len(s.uses) >= maxOrganisations {
-			return
-		}
-		u = &use{since: now}
-		s.uses[organisation] = u
+	if s.own == nil {
+		s.own = map[string]*decayed{}
 	}
-	work += requestWork
-	u.recent.add(now, work, recentHalfLife)
-	u.usual.add(now, work, usualHalfLife)
-	s.requests.add(now, 1, recentHalfLife)
-	s.total.add(now, work, recentHalfLife)
+	d := s.own[organisation]
+	if d == nil {
+		d = &decayed{}
+		s.own[organisation] = d
+	}
+	d.add(now, work+requestWork)
 }
 
-// forgetIdle forgets organisations that have used nothing for long.
-func (s *shares) forgetIdle(now time.Time) {
-	for name, u := range s.uses {
-		if now.Sub(u.usual.asOf) > usualHalfLife {
-			delete(s.uses, name)
+// Own returns the recent use that this instance has seen, in UseUnit.
+func (s *Shares) Own(now time.Time) map[string]int {
+	own := map[string]int{}
+	for name, d := range s.own {
+		if n := int(math.Round(d.at(now) / UseUnit)); n > 0 {
+			own[name] = n
+		} else if now.Sub(d.asOf) > 8*recentHalfLife {
+			delete(s.own, name)
 		}
 	}
+	return most(own)
 }
 
-// ratio returns the recent use of an organisation as a multiple of its usual use.
-func (u *use) ratio(now time.Time) float64 {
-	// Before usualHalfLife has passed, the sums cover the time since the first use only.
-	known := now.Sub(u.since).Seconds()
-	span := func(halfLife time.Duration) float64 {
-		tau := halfLife.Seconds() / math.Ln2
-		return tau * (1 - math.Exp(-known/tau))
+// most returns the organisations with the most use.
+func most(uses map[string]int) map[string]int {
+	if len(uses) <= maxOrganisations {
+		return uses
 	}
-	usual := u.usual.at(now, usualHalfLife) / max(span(usualHalfLife), 1)
-	recent := u.recent.at(now, recentHalfLife) / max(span(recentHalfLife), 1)
-	if usual == 0 {
-		return 0
+	names := slices.SortedFunc(maps.Keys(uses), func(a, b string) int {
+		return cmp.Or(cmp.Compare(uses[b], uses[a]), cmp.Compare(a, b))
+	})
+	for _, name := range names[maxOrganisations:] {
+		delete(uses, name)
 	}
-	return recent / usual
+	return uses
 }
 
-// beyond reports whether an organisation has asked for more than its share while the demand is
-// a multiple of what there is room for.
-func (s *shares) beyond(now time.Time, organisation string, demand float64) bool {
-	u := s.uses[organisation]
-	if u == nil || demand <= freePressure || len(s.uses) < 2 {
-		return false
+// Set sets the recent use that all instances have seen, in UseUnit.
+func (s *Shares) Set(now time.Time, uses map[string]int, scale float64) {
+	if len(uses) == 0 {
+		return
+	}
+	if s.all == nil {
+		s.all, s.since, s.setAt = map[string]*use{}, now, now
 	}
-	requests := s.requests.at(now, recentHalfLife)
-	if requests == 0 || u.recent.at(now, recentHalfLife) < minRecentRequests*s.total.at(now, recentHalfLife)/requests {
-		return false
+	// Until usualHalfLife has passed, usual is the mean since the first news.
+	elapsed := now.Sub(s.setAt)
+	weight := max(1-math.Exp2(-elapsed.Seconds()/usualHalfLife.Seconds()), elapsed.Seconds()/max(now.Sub(s.since).Seconds(), 1))
+	for name := range uses {
+		if s.all[name] == nil && len(s.all) < 2*maxOrganisations {
+			s.all[name] = &use{usual: scale * float64(uses[name])}
+		}
+	}
+	for name, u := range s.all {
+		u.recent = scale * float64(uses[name])
+		u.usual += min(weight, 1) * (u.recent - u.usual)
+		if u.recent == 0 && u.usual < 1 {
+			delete(s.all, name)
+		}
 	}
-	ratio := u.ratio(now)
-	return ratio >= minBeyond && ratio > s.level(now, demand)
+	s.setAt = now
+}
+
+// beyond returns the part of its recent use by which an organisation exceeds its share, while the
+// demand is a multiple of what there is room for.
+func (s *Shares) beyond(now time.Time, organisation string, demand float64) float64 {
+	if s == nil || demand <= 1 || s.setAt.IsZero() || now.Sub(s.setAt) > useTimeout || now.Sub(s.since) < minKnown {
+		return 0
+	}
+	u := s.all[organisation]
+	if u == nil || len(s.all) < 2 || u.recent < minRecent || u.ratio() < minBeyond {
+		return 0
+	}
+	return max(0, 1-max(s.level(demand), 1)/u.ratio())
 }
 
 // level returns the multiple of their usual use up to which organisations get what they ask for.
-func (s *shares) level(now time.Time, demand float64) float64 {
-	type part struct{ ratio, weight float64 }
-	var parts []part
+func (s *Shares) level(demand float64) float64 {
+	uses := slices.SortedFunc(maps.Values(s.all), func(a, b *use) int { return cmp.Compare(a.ratio(), b.ratio()) })
 	room, weights := 0.0, 0.0
-	for _, u := range s.uses {
-		recent := u.recent.at(now, recentHalfLife)
-		if ratio := u.ratio(now); ratio > 0 {
-			parts = append(parts, part{ratio, recent / ratio})
-			weights += recent / ratio
-			room += recent
-		}
+	for _, u := range uses {
+		room += u.recent / demand
+		weights += max(u.usual, 1)
 	}
-	room /= max(demand, 1)
-	slices.SortFunc(parts, func(a, b part) int {
-		if a.ratio < b.ratio {
-			return -1
-		}
-		return 1
-	})
-	for _, p := range parts {
-		if p.ratio*weights >= room {
+	for _, u := range uses {
+		if u.ratio()*weights >= room {
 			return room / weights
 		}
-		room -= p.ratio * p.weight
-		weights -= p.weight
+		room -= u.recent
+		weights -= max(u.usual, 1)
 	}
 	return math.Inf(1)
 }
@@ -136,13 +159,11 @@
 	asOf time.Time
 }
 
-func (d *decayed) at(now time.Time, halfLife time.Duration) float64 {
+func (d *decayed) at(now time.Time) float64 {
 	if d.sum == 0 {
 		return 0
 	}
-	return d.sum * math.Exp2(-now.Sub(d.asOf).Seconds()/halfLife.Seconds())
+	return d.sum * math.Exp2(-now.Sub(d.asOf).Seconds()/recentHalfLife.Seconds())
 }
 
-func (d *decayed) add(now time.Time, x float64, halfLife time.Duration) {
-	d.sum, d.asOf = d.at(now, halfLife)+x, now
-}
+func (d *decayed) add(now time.Time, x float64) { d.sum, d.asOf = d.at(now)+x, now }
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -39,6 +39,8 @@
 	// Unread is the prompt work that attempts in progress have yet to read, in
 	// UnreadUnit, by upstream. Upstreams without are omitted.
 	Unread map[string]int `json:"unread,omitempty"`
+	// Use is the recent use of organisations, as in admission.Shares.
+	Use map[string]int `json:"use,omitempty"`
 	// Demand is what is asked of the services whose upstreams are ordered.
 	Demand map[string]Demand `json:"demand,omitempty"`
 	// Pace is evidence of how fast upstreams are. It is nil in sums that are not about it.
@@ -69,6 +71,7 @@
 	s.Instances += o.Instances
 	s.Running = plus(s.Running, o.Running, func(a, b int) int { return a + b })
 	s.Unread = plus(s.Unread, o.Unread, func(a, b int) int { return a + b })
+	s.Use = plus(s.Use, o.Use, func(a, b int) int { return a + b })
 	s.Pace = plus(s.Pace, o.Pace, func(a, b Pace) Pace { return Pace{a[0] + b[0], a[1] + b[1], a[2] + b[2]} })
 	s.AddDemand(o.Demand)
 	return s
--- a/node/exchange/admit.go
+++ b/node/exchange/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"banyanyard/core/admission"
+	"banyanyard/core/load"
 	"banyanyard/core/placement"
 	"banyanyard/core/refusal"
 )
@@ -85,11 +86,29 @@
 	r.gate(e.request.Service).Leave(t)
 }
 
+// AddUse adds the recent use of organisations that this instance has seen to a sum.
+func (r *Router) AddUse(s *load.Sum) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Use = r.shares.Own(time.Now())
+}
+
+// SetUse sets the recent use by the sum of the instances of this failure domain. The other
+// failure domains are taken to see the same for each of their instances.
+func (r *Router) SetUse(s load.Sum) {
+	if s.Instances <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shares.Set(time.Now(), s.Use, max(1, float64(r.fleet.NumInstances())/float64(s.Instances)))
+}
+
 // gate returns the gate of a service. The caller holds mu.
 func (r *Router) gate(service string) *admission.Gate {
 	g := r.gates[service]
 	if g == nil {
-		g = &admission.Gate{}
+		g = &admission.Gate{Shares: &r.shares}
 		r.gates[service] = g
 	}
 	return g
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -57,6 +57,7 @@
 	configuredAt    time.Time                  // when the first routing table was set; guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators  map[string]*cascade.Escalator
+	shares      admission.Shares           // guarded by mu
 	gates       map[string]*admission.Gate // decide on requests with a prompt; guarded by mu; by service
 	answerTimes map[string]*answerTime     // guarded by mu; by route
 	// domainDemand is what the instances of each failure domain see. Guarded by mu.
