core/admission: pressure leaves out the request's own prompt

Cause: a long prompt counted as pressure where all upstreams were idle. Change: pressure is the wait of the kinds that go first. Only the part of an organisation's requests that exceeds its share is refused; its growth counts against that of the others, since use seems to rise for all when instances are gone.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -35,7 +35,7 @@
 	slackShare = 0.8
 	// freePressure is the pressure up to which each request is started. At 1, a more urgent
 	// kind of request is expected to be late.
-	freePressure = 0.7
+	freePressure = 0.5
 	// lastingTime is how long there must have been pressure before requests beyond an
 	// organisation's share are refused.
 	lastingTime = time.Second
@@ -168,33 +168,43 @@
 	if !room.Known {
 		return g.release(now, t, d)
 	}
-	reading := time.Duration(t.Work * float64(room.PerToken))
-	d.Predicted = room.Wait + reading
+	d.Predicted = room.Wait + time.Duration(t.Work*float64(room.PerToken))
 	if room.Shortest > certainty*t.Deadline.Sub(now) {
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, Deadline, g.retryAfter(now, t, room.Shortest)
 		return d
 	}
 	// Others have a right to the room before an organisation that is beyond its share, unless
 	// they are less urgent.
-	kind, pressure := g.pressure(now, t, t.Priority+1, reading)
+	kind, pressure := g.pressure(now, t, t.Priority+1)
 	lasting := g.strain.lasts(now, pressure)
 	if t.beyondShare = t.Draw < g.Shares.beyond(now, t.Organisation, pressure/freePressure); !t.beyondShare {
-		kind, pressure = g.pressure(now, t, t.Priority, reading)
+		kind, pressure = g.pressure(now, t, t.Priority)
 	}
 	d.Pressure = pressure
-	switch threshold := freePressure + (1-freePressure)*t.Draw; {
-	case d.Pressure > threshold && lasting && t.beyondShare && !t.held:
+	isPressed := pressure > freePressure+(1-freePressure)*t.Draw
+	if isPressed && lasting && t.beyondShare && !t.held {
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, BeyondShare, g.retryAfter(now, t, room.Wait)
-	case !now.Before(t.heldUntil(room.Wait + reading)):
+		return d
+	}
+	return g.takeOrHold(now, t, d, isPressed && g.helps(now, t, kind, d))
+}
+
+// takeOrHold decides on a request that is not refused. It is to be held if that helps.
+func (g *Gate) takeOrHold(now time.Time, t *Ticket, d Decision, helps bool) Decision {
+	switch {
+	case !now.Before(t.heldUntil(d.Predicted)):
 		d.Reason = Bound
-	case d.Pressure > threshold && g.helps(now, t, kind, d):
-		d.Outcome, d.Reason = Hold, MoreUrgent
+		return d
+	case helps:
+		d.Reason = MoreUrgent
 	case g.isBehind(t):
-		d.Outcome, d.Reason = Hold, Behind
+		d.Reason = Behind
 	default:
 		d.Reason = Free
+		return d
 	}
-	if d.Outcome == Hold && !t.held {
+	d.Outcome = Hold
+	if !t.held {
 		t.held = true
 		g.held = append(g.held, t)
 	}
@@ -224,23 +234,18 @@
 	return t.Arrived.Add(min(share(holdShare), share(slackShare)-predicted))
 }
 
-// pressure returns how near a kind with a priority below the given one is to being late if the
-// request is started, and that kind.
-func (g *Gate) pressure(now time.Time, t *Ticket, below int, reading time.Duration) (nearest Kind, pressure float64) {
+// pressure returns how near a kind with a priority below the given one is to being late, of
+// those that go to the same upstreams as the request, and that kind.
+func (g *Gate) pressure(now time.Time, t *Ticket, below int) (nearest Kind, pressure float64) {
 	for _, k := range g.kinds.recent(now) {
 		if k.Priority >= below {
 			continue
 		}
 		room := g.rooms.of(k.Large)
-		wait := room.Wait + time.Duration(k.Work*float64(room.PerToken))
-		switch {
-		case !room.Known:
-			continue
-		case k.Large == t.Large:
-			wait += reading
-		case !g.rooms.of(t.Large).Spills:
-			continue // they go to different upstreams
+		if !room.Known || k.Large != t.Large && !g.rooms.of(t.Large).Spills {
+			continue // the request does not go where this kind goes
 		}
+		wait := room.Wait + time.Duration(k.Work*float64(room.PerToken))
 		if p := float64(wait) / float64(k.Objective); p > pressure {
 			nearest, pressure = k, p
 		}
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -15,8 +15,8 @@
 	usualHalfLife  = 2 * time.Minute
 	// useTimeout is how long the use of all instances counts without a newer one.
 	useTimeout = 2 * time.Second
-	// minBeyond is the multiple of its usual use below which an organisation is within its
-	// share: chance alone makes use vary.
+	// minBeyond is the multiple of its usual use, against that of all, below which an
+	// organisation is within its share: chance alone makes use vary.
 	minBeyond = 2.0
 	// minKnown is the time for which use must be known before it counts as usual.
 	minKnown = 3 * time.Second
@@ -49,10 +49,10 @@
 // A use is what an organisation asks of all instances.
 type use struct {
 	recent float64 // in UseUnit
-	usual  float64 // average of recent
+	usual  float64 // average of recent, of which an excess counts only in part
 }
 
-func (u *use) ratio() float64 { return u.recent / max(u.usual, 1) }
+func (u use) ratio() float64 { return u.recent / max(u.usual, 1) }
 
 func (s *Shares) record(now time.Time, organisation string, work float64) {
 	if s == nil || organisation == "" {
@@ -114,7 +114,7 @@
 	}
 	for name, u := range s.all {
 		u.recent = scale * float64(uses[name])
-		u.usual += min(weight, 1) * (u.recent - u.usual)
+		u.usual += min(weight, 1) * (min(u.recent, minBeyond*u.usual) - u.usual)
 		if u.recent == 0 && u.usual < 1 {
 			delete(s.all, name)
 		}
@@ -129,12 +129,21 @@
 		return 0
 	}
 	u := s.all[organisation]
-	if u == nil || len(s.all) < 2 || u.recent < minRecent || u.ratio() < minBeyond {
+	if u == nil || len(s.all) < 2 || u.recent < minRecent || u.ratio() < minBeyond*max(1, s.sum().ratio()) {
 		return 0
 	}
 	return max(0, 1-max(s.level(demand), 1)/u.ratio())
 }
 
+// sum returns the use of all organisations together.
+func (s *Shares) sum() (total use) {
+	for _, u := range s.all {
+		total.recent += u.recent
+		total.usual += u.usual
+	}
+	return total
+}
+
 // level returns the multiple of their usual use up to which organisations get what they ask for.
 func (s *Shares) level(demand float64) float64 {
 	uses := slices.SortedFunc(maps.Values(s.all), func(a, b *use) int { return cmp.Compare(a.ratio(), b.ratio()) })
