core/admission: chance does not put an organisation beyond its share

Cause: usual use was learnt from the first, incomplete sums, and from the excess itself. Change: nobody is beyond its share for 5 s; an excess is learnt in part; an organisation must use more than the mean of the others and have grown three times as much.

--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -15,11 +15,13 @@
 	usualHalfLife  = 2 * time.Minute
 	// useTimeout is how long the use of all instances counts without a newer one.
 	useTimeout = 2 * time.Second
-	// minBeyond is the multiple of its usual use, against that of all, below which an
+	// minBeyond is the multiple of its usual use, against that of the others, below which an
 	// organisation is within its share: chance alone makes use vary.
-	minBeyond = 2.0
+	minBeyond = 3.0
 	// minKnown is the time for which use must be known before it counts as usual.
-	minKnown = 3 * time.Second
+	minKnown = 5 * time.Second
+	// maxLearnt is the multiple of its usual use above which use is not learnt as usual.
+	maxLearnt = 2.0
 	// minRecent is the recent use, in UseUnit over all instances, below which an organisation
 	// is within its share.
 	minRecent = 50.0
@@ -43,13 +45,13 @@
 	own   map[string]*decayed
 	all   map[string]*use
 	setAt time.Time // of the newest use of all instances; zero if there is none
-	since time.Time // of the first
 }
 
 // A use is what an organisation asks of all instances.
 type use struct {
 	recent float64 // in UseUnit
 	usual  float64 // average of recent, of which an excess counts only in part
+	since  time.Time
 }
 
 func (u use) ratio() float64 { return u.recent / max(u.usual, 1) }
@@ -102,19 +104,15 @@
 		return
 	}
 	if s.all == nil {
-		s.all, s.since, s.setAt = map[string]*use{}, now, now
+		s.all, s.setAt = map[string]*use{}, now
 	}
-	// Until usualHalfLife has passed, usual is the mean since the first news.
-	elapsed := now.Sub(s.setAt)
-	weight := max(1-math.Exp2(-elapsed.Seconds()/usualHalfLife.Seconds()), elapsed.Seconds()/max(now.Sub(s.since).Seconds(), 1))
 	for name := range uses {
 		if s.all[name] == nil && len(s.all) < 2*maxOrganisations {
-			s.all[name] = &use{usual: scale * float64(uses[name])}
+			s.all[name] = &use{since: now}
 		}
 	}
 	for name, u := range s.all {
-		u.recent = scale * float64(uses[name])
-		u.usual += min(weight, 1) * (min(u.recent, minBeyond*u.usual) - u.usual)
+		u.set(now, now.Sub(s.setAt), scale*float64(uses[name]))
 		if u.recent == 0 && u.usual < 1 {
 			delete(s.all, name)
 		}
@@ -122,28 +120,51 @@
 	s.setAt = now
 }
 
+// set sets the recent use, some time after the use before. Of an excess, only a part counts as
+// usual. Until usualHalfLife has passed, usual is about the mean since the first use.
+func (u *use) set(now time.Time, elapsed time.Duration, recent float64) {
+	u.recent = recent
+	if u.isNew(now) {
+		u.usual = recent
+		return
+	}
+	weight := max(1-math.Exp2(-elapsed.Seconds()/usualHalfLife.Seconds()), elapsed.Seconds()/now.Sub(u.since).Seconds())
+	u.usual += min(weight, 1) * (min(recent, maxLearnt*u.usual) - u.usual)
+}
+
+// isNew reports whether too little is known of the organisation's usual use.
+func (u *use) isNew(now time.Time) bool { return now.Sub(u.since) < minKnown }
+
 // beyond returns the part of its recent use by which an organisation exceeds its share, while the
 // demand is a multiple of what there is room for.
 func (s *Shares) beyond(now time.Time, organisation string, demand float64) float64 {
-	if s == nil || demand <= 1 || s.setAt.IsZero() || now.Sub(s.setAt) > useTimeout || now.Sub(s.since) < minKnown {
+	if s == nil || demand <= 1 || s.setAt.IsZero() || now.Sub(s.setAt) > useTimeout {
 		return 0
 	}
 	u := s.all[organisation]
-	if u == nil || len(s.all) < 2 || u.recent < minRecent || u.ratio() < minBeyond*max(1, s.sum().ratio()) {
+	if u == nil || u.isNew(now) || u.recent < minRecent || !u.isExceptional(s.others(u), len(s.all)-1) {
 		return 0
 	}
 	return max(0, 1-max(s.level(demand), 1)/u.ratio())
 }
 
-// sum returns the use of all organisations together.
-func (s *Shares) sum() (total use) {
+// others returns the use of all other organisations together.
+func (s *Shares) others(than *use) (total use) {
 	for _, u := range s.all {
-		total.recent += u.recent
-		total.usual += u.usual
+		if u != than {
+			total.recent += u.recent
+			total.usual += u.usual
+		}
 	}
 	return total
 }
 
+// isExceptional reports whether an organisation uses more than the mean of the n others, and has
+// grown much more than they have.
+func (u *use) isExceptional(others use, n int) bool {
+	return n > 0 && u.recent*float64(n) > others.recent && u.ratio() >= minBeyond*max(1, others.ratio())
+}
+
 // level returns the multiple of their usual use up to which organisations get what they ask for.
 func (s *Shares) level(demand float64) float64 {
 	uses := slices.SortedFunc(maps.Values(s.all), func(a, b *use) int { return cmp.Compare(a.ratio(), b.ratio()) })
