--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -33,9 +33,12 @@
 	// slackShare is the part of its latency objective within which a request must be expected
 	// to begin if it is held on.
 	slackShare = 0.8
-	// freePressure is the pressure up to which each request is started. At 1, a more urgent
-	// kind of request is expected to be late.
-	freePressure = 0.5
+	// freePressure is the pressure up to which each request is started, and fullPressure that
+	// from which on none is that can be held. At 1, a more urgent kind of request is late on
+	// average; since waits vary like those of a queue, 1 in 28 of them is at freePressure
+	// and 1 in 5 at fullPressure.
+	freePressure = 0.3
+	fullPressure = 0.6
 	// lastingTime is how long there must have been pressure before requests beyond an
 	// organisation's share are refused.
 	lastingTime = time.Second
@@ -181,7 +184,7 @@
 		kind, pressure = g.pressure(now, t, t.Priority)
 	}
 	d.Pressure = pressure
-	isPressed := pressure > freePressure+(1-freePressure)*t.Draw
+	isPressed := pressure > freePressure+(fullPressure-freePressure)*t.Draw
 	if isPressed && lasting && t.beyondShare && !t.held {
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, BeyondShare, g.retryAfter(now, t, room.Wait)
 		return d
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -43,9 +43,9 @@
 	ticket     *Ticket
 	begins     time.Time // zero if it was refused
 	started    time.Time
-	refused    Reason        // empty unless it was refused
+	refused    Reason // empty unless it was refused
 	retryAfter time.Duration
-	back       time.Time     // when the caller returns; zero if it does not
+	back       time.Time // when the caller returns; zero if it does not
 }
 
 const (
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -7,7 +7,7 @@
 
 // A Room is what the upstreams that are to get prompts of a size can do in time.
 type Room struct {
-	Wait     time.Duration // predicted until an upstream has read the prompts that it has, at the median
+	Wait     time.Duration // predicted until an upstream has read the prompts that it has, on average over picks
 	Shortest time.Duration // the same where that is shortest
 	PerToken time.Duration // for which a typical upstream reads a token of the largest model
 	Spills   bool          // Wait is so much longer than usual that prompts go to the others, too
@@ -32,19 +32,31 @@
 	}
 	e := &s.engine
 	part := s.partition.divide(now, usable, large, 0, (*upstream).pace)
-	wait, shortest := median(part, e.wait), math.Inf(1)
+	shortest := math.Inf(1)
 	for _, u := range usable {
 		shortest = min(shortest, e.wait(u))
 	}
 	return Room{
-		Wait:     seconds(wait),
+		Wait:     seconds(f.meanWait(now, e, part)),
 		Shortest: seconds(shortest),
 		PerToken: seconds(e.perToken),
-		Spills:   wait > 2*median(usable, e.wait),
+		Spills:   median(part, e.wait) > 2*median(usable, e.wait),
 		Age:      now.Sub(f.loadSetAt) + f.loadAge,
 	}, true
 }
 
+// meanWait returns the predicted wait at the upstreams, in seconds, on average over the requests:
+// those that are far behind get few.
+func (f *Fleet) meanWait(now time.Time, e *engine, us []*upstream) float64 {
+	total, weights := 0.0, 0.0
+	for _, u := range us {
+		weight := f.headroom(now, u) * u.pace()
+		total += weight * e.wait(u)
+		weights += weight
+	}
+	return total / weights
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // IsLarge reports whether prompts of some prompt work count as large.
