core/admission: holding grows from 0.3 to 1, shares count from 0.7

Cause: a steep threshold lets held requests go into the peak; refusals began while there was room. Change: one ramp for holding; shares count where 1 in 4 requests is late.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -33,13 +33,14 @@
 	// slackShare is the part of its latency objective within which a request must be expected
 	// to begin if it is held on.
 	slackShare = 0.8
-	// freePressure is the pressure up to which each request is started, and fullPressure that
-	// from which on none is that can be held. At 1, a more urgent kind of request is late on
-	// average; since waits vary like those of a queue, 1 in 28 of them is at freePressure
-	// and 1 in 5 at fullPressure.
+	// freePressure is the pressure up to which each request is started. At 1, a more urgent kind
+	// of request is late on average, and none is started that can be held; waits vary like those
+	// of a queue, so that 1 in 28 of that kind is late at freePressure.
 	freePressure = 0.3
-	fullPressure = 0.6
-	// lastingTime is how long there must have been pressure before requests beyond an
+	// scarcePressure is the pressure from which on organisations are held to their shares: 1 in
+	// 4 requests of the kind is late then.
+	scarcePressure = 0.7
+	// lastingTime is how long there must have been too little room before requests beyond an
 	// organisation's share are refused.
 	lastingTime = time.Second
 	// certainty is how many times as long as its deadline is away the shortest predicted wait
@@ -180,11 +181,11 @@
 	// they are less urgent.
 	kind, pressure := g.pressure(now, t, t.Priority+1)
 	lasting := g.strain.lasts(now, pressure)
-	if t.beyondShare = t.Draw < g.Shares.beyond(now, t.Organisation, pressure/freePressure); !t.beyondShare {
+	if t.beyondShare = t.Draw < g.Shares.beyond(now, t.Organisation, pressure/scarcePressure); !t.beyondShare {
 		kind, pressure = g.pressure(now, t, t.Priority)
 	}
 	d.Pressure = pressure
-	isPressed := pressure > freePressure+(fullPressure-freePressure)*t.Draw
+	isPressed := pressure > freePressure+(1-freePressure)*t.Draw
 	if isPressed && lasting && t.beyondShare && !t.held {
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, BeyondShare, g.retryAfter(now, t, room.Wait)
 		return d
@@ -292,14 +293,14 @@
 	return max(min(after, most), min(minRetryAfter, most))
 }
 
-// A strain tells for how long there has been pressure.
+// A strain tells for how long there has been too little room.
 type strain struct {
 	since, last time.Time
 }
 
-// lasts records the pressure and reports whether it has lasted.
+// lasts records the pressure and reports whether there has been too little room for long.
 func (l *strain) lasts(now time.Time, pressure float64) bool {
-	if pressure > freePressure {
+	if pressure > scarcePressure {
 		if l.since.IsZero() || now.Sub(l.last) > lastingTime/2 {
 			l.since = now
 		}
