--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -47,7 +47,7 @@
 	// must be for a request to be refused: predictions err.
 	certainty = 2
 	// roomInterval is the time for which a room is used.
-	roomInterval = 100 * time.Millisecond
+	roomInterval = 250 * time.Millisecond
 	// maxRetryShare is the part of the time left that callers wait at most before they return.
 	maxRetryShare = 1.0 / 3
 	// minRetryAfter is the shortest wait.
