core/admission: among equally urgent requests, those with time yield

Cause: organisations' priorities replace those of routes, so that most requests are equally urgent. Change: a request also yields to kinds of its priority with at most half of its latency objective. Measured: TestBurst passes.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -177,12 +177,11 @@
 		d.Outcome, d.Reason, d.RetryAfter = Refuse, Deadline, g.retryAfter(now, t, room.Shortest)
 		return d
 	}
-	// Others have a right to the room before an organisation that is beyond its share, unless
-	// they are less urgent.
-	kind, pressure := g.pressure(now, t, t.Priority+1)
+	// Others go before an organisation that is beyond its share, unless they are less urgent.
+	kind, pressure := g.pressure(t, g.kinds.recent(now), func(k *Kind) bool { return k.Priority <= t.Priority })
 	lasting := g.strain.lasts(now, pressure)
 	if t.beyondShare = t.Draw < g.Shares.beyond(now, t.Organisation, pressure/scarcePressure); !t.beyondShare {
-		kind, pressure = g.pressure(now, t, t.Priority)
+		kind, pressure = g.pressure(t, g.kinds.recent(now), t.yieldsTo)
 	}
 	d.Pressure = pressure
 	isPressed := pressure > freePressure+(1-freePressure)*t.Draw
@@ -238,11 +237,11 @@
 	return t.Arrived.Add(min(share(holdShare), share(slackShare)-predicted))
 }
 
-// pressure returns how near a kind with a priority below the given one is to being late, of
-// those that go to the same upstreams as the request, and that kind.
-func (g *Gate) pressure(now time.Time, t *Ticket, below int) (nearest Kind, pressure float64) {
-	for _, k := range g.kinds.recent(now) {
-		if k.Priority >= below {
+// pressure returns how near one of the kinds that precede a request is to being late, of those
+// that go to the same upstreams, and that kind.
+func (g *Gate) pressure(t *Ticket, all []Kind, precedes func(*Kind) bool) (nearest Kind, pressure float64) {
+	for _, k := range all {
+		if !precedes(&k) {
 			continue
 		}
 		room := g.rooms.of(k.Large)
--- a/core/admission/kinds.go
+++ b/core/admission/kinds.go
@@ -13,7 +13,7 @@
 	Priority  int
 	Large     bool
 	Objective time.Duration // the smallest seen
-	Work      float64       // mean prompt work, in tokens
+	Work      float64       // mean prompt work of the requests with that, in tokens
 
 	last time.Time
 }
@@ -40,8 +40,12 @@
 		k = &Kind{Priority: q.Priority, Large: q.Large, Objective: q.Objective, Work: q.Work}
 		s.byKey[key] = k
 	}
-	k.Objective = min(k.Objective, q.Objective)
-	k.Work += workWeight * (q.Work - k.Work)
+	switch {
+	case q.Objective < k.Objective:
+		k.Objective, k.Work = q.Objective, q.Work
+	case q.Objective == k.Objective:
+		k.Work += workWeight * (q.Work - k.Work)
+	}
 	k.last = now
 }
 
@@ -57,3 +61,13 @@
 	}
 	return recent
 }
+
+// minSlackFactor is how many times as long as that of others a request's latency objective must
+// be for it to yield to them at the same priority.
+const minSlackFactor = 2
+
+// yieldsTo reports whether the request may be held for a kind: one that is more urgent, or as
+// urgent with much less time.
+func (t *Ticket) yieldsTo(k *Kind) bool {
+	return k.Priority < t.Priority || k.Priority == t.Priority && minSlackFactor*k.Objective <= t.Objective
+}
--- a/node/exchange/admit.go
+++ b/node/exchange/admit.go
@@ -28,7 +28,7 @@
 			break // the time that is left is for answering
 		}
 		if err := sleep(ctx, holdInterval); err != nil {
-			e.logAdmission("caller-left", d)
+			e.logAdmission("gone", d)
 			return err
 		}
 		d = e.router.decide(e, ticket)
