--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -23,6 +23,7 @@
 	// trouble changes the deployment when the burst begins.
 	trouble func(b *burst)
 	lasts   time.Duration // of the burst
+	equal   bool          // long prompts are as urgent as short ones
 	alike   bool          // all requests are short and urgent
 	hot     string        // organisation that sends hotFactor times its usual from the burst on
 
@@ -142,6 +143,9 @@
 	}}
 	if long := b.random.Float64() < burstLongShare; long && !b.alike {
 		r.Priority, r.Objective, r.Work, r.Deadline = 2, 6*time.Second, burstLong*(0.5+b.random.Float64()), now.Add(20*time.Second)
+		if b.equal {
+			r.Priority = 0
+		}
 	}
 	if bursting && b.hot != "" && b.random.Float64() < (hotFactor-1)/(burstOrgs+hotFactor-1) {
 		r.Organisation = b.hot
@@ -213,8 +217,8 @@
 }
 
 func isUsual(r *burstRequest) bool  { return r.Organisation != "org-1" }
-func isUrgent(r *burstRequest) bool { return r.Priority == 0 }
-func isLong(r *burstRequest) bool   { return r.Priority != 0 }
+func isUrgent(r *burstRequest) bool { return r.Objective == time.Second }
+func isLong(r *burstRequest) bool   { return !isUrgent(r) }
 
 // burstSeeds is the number of plays over which results are averaged.
 const burstSeeds = 16
@@ -248,6 +252,7 @@
 	}{
 		{name: "room", play: burst{utilisation: burstUsual}},
 		{name: "long and short prompts", play: burst{utilisation: 1.3}, gain: 0.2},
+		{name: "long prompts that are as urgent but have time", play: burst{utilisation: 1.3, equal: true}, gain: 0.2},
 		{name: "half of the instances are gone", play: burst{utilisation: 1.3, trouble: func(b *burst) { b.gates = b.gates[:burstInstances/2] }}, gain: 0.2},
 		{name: "upstreams are lost", play: burst{utilisation: 1, trouble: func(b *burst) { b.queues = b.queues[:burstUpstreams*4/5] }}, gain: 0.2},
 		{name: "most upstreams are lost", play: burst{utilisation: 1, trouble: func(b *burst) { b.queues = b.queues[:burstUpstreams/4] }}},
