core/placement, node/exchange, cmd/banyanyard: explain where a request would go

Cause: operators could see a placement only afterwards, in the log. Change: Fleet.Explain repeats Pick on copies of the fleet, so that nothing changes and nothing can drift; Router.Explain adds route, organisation, model, version and refusals; the readiness address serves /explain, and banyanyard explain prints it.

--- a/cmd/banyanyard/root.go
+++ b/cmd/banyanyard/root.go
@@ -26,7 +26,7 @@
 		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{cause: err} })
-	root.AddCommand(newServeCommand(), newRulesCommand(), newTakeOutCommand(), newLoadCommand(), newDemoCommand(), newVersionCommand())
+	root.AddCommand(newServeCommand(), newRulesCommand(), newTakeOutCommand(), newExplainCommand(), newLoadCommand(), newDemoCommand(), newVersionCommand())
 	return root
 }
 
