--- a/cmd/banyanyard/explain.go
+++ b/cmd/banyanyard/explain.go
@@ -108,7 +108,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tDOMAIN\tVERSION\tCHANCE\tEXCLUDED BY\tFOR\tFIRST EVENT\tPAUSES\tPACE\tLOAD\tUNREAD\tAGE")
+	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tDOMAIN\tVERSION\tCHANCE\tEXCLUDED BY\tFOR\tFIRST EVENT\tGAP\tPACE\tLOAD\tUNREAD\tAGE")
 	for i := range x.Candidates {
 		c := &x.Candidates[i]
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.0f%%%s\t%s\t%s\t%.0f ms\t%.0f ms\t%.2f\t%.1f\t%.0f\t%s\n",
--- a/cmd/banyanyard/main_test.go
+++ b/cmd/banyanyard/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -10,6 +12,7 @@
 	"testing"
 
 	platformfake "banyanyard/fake/platform"
+	"banyanyard/io/operator"
 
 	"github.com/matryer/is"
 )
@@ -129,3 +132,47 @@
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, "revision 1 is accepted"))
 }
+
+// An explainer explains the same for each path but /unknown.
+type explainer struct{}
+
+func (explainer) Explain(q operator.ExplainQuery) (*operator.Explanation, error) {
+	if q.Path == "/unknown" {
+		return nil, errors.New("no route matches: use one of api.example/draft/")
+	}
+	return &operator.Explanation{Instance: "i0", Outcome: "sent", Upstream: "u1", Why: q.Parts, Candidates: []operator.ExplainCandidate{
+		{Upstream: "u1", Chance: 1, KeepsPrefix: true}, {Upstream: "u2", Excluded: "unreachable", ForMs: 120}, {Upstream: "u3", Excluded: "named-limit", ForMs: -1},
+	}}, nil
+}
+
+func TestExplainPrintsTextOrJSON(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle("/explain", operator.NewExplainHandler(explainer{}))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	tests := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{name: "text", args: []string{"--path", "/draft/1", "--parts", "a:1"}, want: "would go to u1"},
+		{name: "query", args: []string{"--path", "/draft/1", "--parts", "a:1,b:2"}, want: "a:1,b:2"},
+		{name: "chance", args: []string{"--path", "/draft/1"}, want: "100%, keeps prefix"},
+		{name: "time of an exclusion", args: []string{"--path", "/draft/1"}, want: "120 ms"},
+		{name: "exclusion that does not end", args: []string{"--path", "/draft/1"}, want: "no end"},
+		{name: "JSON", args: []string{"--path", "/draft/1", "--json"}, want: `"upstream":"u1"`},
+		{name: "unknown route", args: []string{"--path", "/unknown"}, code: exitFailed, want: "use one of api.example/draft/"},
+		{name: "path without a slash", args: []string{"--path", "draft"}, code: exitFailed, want: "begins with a slash"},
+		{name: "no path", code: exitUsage, want: "path"},
+		{name: "other address", args: []string{"--path", "/draft/1", "--instance", server.URL + "/x"}, code: exitFailed, want: "readiness address"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			code, out := runCommand(append([]string{"explain", "--instance", server.URL, "--host", "api.example"}, tt.args...)...)
+			if code != tt.code || !strings.Contains(out, tt.want) {
+				t.Errorf("exit code %d, want %d; output lacks %q:\n%s", code, tt.code, tt.want, out)
+			}
+		})
+	}
+}
--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -116,9 +116,12 @@
 		}
 		x.Draws++
 		picked := &x.Candidates[byID[slot.Upstream.ID]]
-		picked.Chance += 1 / float64(draws)
+		picked.Chance++
 		picked.Kept = picked.Kept || slot.prompt.total < c.PromptWork
 	}
+	for i := range x.Candidates {
+		x.Candidates[i].Chance /= float64(draws)
+	}
 }
 
 func (f *Fleet) candidate(now time.Time, s *service, u *upstream, c Criteria) Candidate {
