--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -94,9 +94,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
+			replied := make(chan struct{}, 2)
 			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 				for id := readRequestID(r); id != ""; id = readRequestID(r) {
 					tt.reply(c, id)
+					replied <- struct{}{}
 				}
 			})
 			opened := 0
@@ -108,6 +110,7 @@
 				body, err := do(&client, address, q)
 				is.NoErr(err)
 				is.Equal(body, "x")
+				<-replied
 				time.Sleep(50 * time.Millisecond)
 			}
 			is.Equal(opened, tt.want)
