--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -444,7 +445,7 @@
 	if _, err := io.WriteString(c, b.String()); err != nil {
 		return err
 	}
-	chunk := make([]byte, 64<<10)
+	chunk := bytes.Repeat([]byte(id), 4<<10) // no two bodies are alike
 	start := time.Now()
 	for sent := 0; sent < bodyBytes; {
 		n, err := c.Write(chunk[:min(len(chunk), bodyBytes-sent)])
