core/trial: load tests compare copies on both versions

Cause: a load test without controls took requests that fail now and then on any version (about 7 in 100 runs of a request that was answered well; 7 of 24 of one) for failures under load, and the canary requests before it mostly used up the bound: 9 copies where 18 were wanted.

Change: copies also go to the old version, six before and six after a load test with failures; the rates are compared, with a threshold of their own. Requests without a session go to the new version less often before the load test. The start of a load test is reported at once, so that two instances do not run one each. No second load test once the move is decided or cannot be in time.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -187,28 +187,32 @@
 	return ""
 }
 
-// copiesThreshold is the threshold for copies of a request that was answered well. Some of
-// them fail by chance on any version, and how many is not known.
-var copiesThreshold = Threshold{Tolerance: 0.10, EffectSize: 0.20}
+// copiesThreshold is the threshold for copies of a request that was answered well, and
+// copiesPrior the number of good answers that are added to those of the old version, so that
+// one failure in few does not look like the rate.
+var copiesThreshold = Threshold{Tolerance: 0.05, EffectSize: 0.20}
 
-func copiesTest(copies tally.Counts) outcomeTest {
+const copiesPrior = 8
+
+func copiesTest(newCopies, oldCopies tally.Counts) outcomeTest {
 	t := copiesThreshold
-	return outcomeTest{name: "copies under load", new: copies, tolerated: t.Tolerance, worse: t.Tolerance + t.EffectSize, falseStop: falseStopProbability}
+	tolerated := min(float64(oldCopies.Bad)/float64(oldCopies.N()+copiesPrior)+t.Tolerance, 1-2*t.EffectSize)
+	return outcomeTest{name: "copies under load", new: newCopies, old: oldCopies, tolerated: tolerated, worse: tolerated + t.EffectSize, falseStop: falseStopProbability}
 }
 
 // CopiesLogRatio returns the logarithm of the likelihood that a version fails under load,
 // relative to that it does not, given the outcomes of copies of requests which the old
-// version had answered well.
-func CopiesLogRatio(copies tally.Counts) float64 {
-	t := copiesTest(copies)
+// version had answered well, on the new version under load and on the old version.
+func CopiesLogRatio(newCopies, oldCopies tally.Counts) float64 {
+	t := copiesTest(newCopies, oldCopies)
 	return t.logRatio()
 }
 
 // FindFailingCopies returns the figures if the outcomes of such copies show that the version
 // fails under load, or "".
-func FindFailingCopies(copies tally.Counts) string {
-	if t := copiesTest(copies); t.newIsWorse() {
-		return fmt.Sprintf("%s: %d of %d failed", t.name, copies.Bad, copies.N())
+func FindFailingCopies(newCopies, oldCopies tally.Counts) string {
+	if t := copiesTest(newCopies, oldCopies); t.newIsWorse() {
+		return fmt.Sprintf("%s: %d of %d with the new version, %d of %d with the old", t.name, t.new.Bad, t.new.N(), t.old.Bad, t.old.N())
 	}
 	return ""
 }
--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -22,6 +22,8 @@
 	// requests and by one kind.
 	maxLogRatio     = 2.0
 	maxKindLogRatio = 4.6
+	// maxCopiesLogRatio is the same for the copies of load tests.
+	maxCopiesLogRatio = 1.0
 )
 
 // updateClearance decides when the traffic moves, if that is possible now. Only an
--- a/core/trial/evidence.go
+++ b/core/trial/evidence.go
@@ -18,7 +18,7 @@
 	Moved     map[string]rollout.Arm      // by kind of request
 	Exposure  Exposure
 	LoadTests int
-	Copies    tally.Counts
+	Copies    Copies
 }
 
 // replace takes the report of an instance in place of its one before, which is zero for the
@@ -83,7 +83,7 @@
 func (t *Trial) stopIfWorse() bool {
 	reason := t.findRegression(t.totalEvidence)
 	if reason == "" {
-		reason = rollout.FindFailingCopies(t.copies())
+		reason = t.findFailingCopies()
 	}
 	if reason == "" && t.moveSeen {
 		reason = t.findRegression(t.movedEvidence)
@@ -106,7 +106,7 @@
 
 // isSuspicious reports whether the evidence speaks against the new version.
 func (t *Trial) isSuspicious() bool {
-	return rollout.CopiesLogRatio(t.copies()) > maxLogRatio || t.speaksAgainst(t.totalEvidence) || t.moveSeen && t.speaksAgainst(t.movedEvidence)
+	return t.copiesLogRatio() > maxCopiesLogRatio || t.speaksAgainst(t.totalEvidence) || t.moveSeen && t.speaksAgainst(t.movedEvidence)
 }
 
 // speaksAgainst compares the versions by each kind of request, by all together, and by the
@@ -128,6 +128,18 @@
 	return max(failures, durations, rollout.MaxLogRatio(total, latencyThreshold, eventGapThreshold)) > maxLogRatio
 }
 
+func (t *Trial) copiesLogRatio() float64 {
+	c := t.copies()
+	return rollout.CopiesLogRatio(c.New, c.Old)
+}
+
+// findFailingCopies returns the figures if the load tests show that the new version fails
+// under load, or "".
+func (t *Trial) findFailingCopies() string {
+	c := t.copies()
+	return rollout.FindFailingCopies(c.New, c.Old)
+}
+
 // EvidenceText describes the evidence of all instances for logs: by kind of request and
 // criterion, the bad and all outcomes of the new and of the old version.
 func (t *Trial) EvidenceText() string {
@@ -140,8 +152,8 @@
 			}
 		}
 	}
-	if c := t.copies(); c.N() > 0 {
-		parts = append(parts, fmt.Sprintf("copies under load %d/%d", c.Bad, c.N()))
+	if c := t.copies(); c.New.N() > 0 {
+		parts = append(parts, fmt.Sprintf("copies under load %d/%d old %d/%d", c.New.Bad, c.New.N(), c.Old.Bad, c.Old.N()))
 	}
 	return strings.Join(parts, "; ")
 }
--- a/core/trial/loadtest.go
+++ b/core/trial/loadtest.go
@@ -15,18 +15,27 @@
 	// test that has not been reported. An instance can run one only when it has had a
 	// suitable request.
 	loadTestRankDelay = 600 * time.Millisecond
+	// collectorRanks is the number of instances that learn of each other's load tests at
+	// once. The others wait until othersLoadTest, as a fraction of the order's duration, and
+	// learn of them by summaries.
+	collectorRanks = 2
+	othersLoadTest = 0.2
 	// maxSummaryAge is the age of a summary up to which its room for copies is used.
 	maxSummaryAge = time.Second
-	// A load test uses each slot of an upstream sufficientLoadTestRounds times, and
-	// loadTestRounds times if a copy has failed. Fewer than minLoadTestRounds tell nothing:
-	// the first copies find the upstream without load.
-	minLoadTestRounds        = 1.5
+	// A load test sends sufficientLoadTestRounds copies for each slot of an upstream, and
+	// loadTestRounds if one has failed, but at least sufficientCopies and maxCopies. Fewer
+	// than minCopies tell nothing: the first copies find the upstream without load.
 	sufficientLoadTestRounds = 2
-	loadTestRounds           = 4
+	loadTestRounds           = 3
+	minCopies                = 9
+	sufficientCopies         = 12
+	maxCopies                = 18
 	// loadTestSlackFraction is the part of Bounds.ExposeSlack that may be used up to the
-	// deadline, load tests included. It is less than moveSlackFraction, as the rate is known
-	// only roughly.
-	loadTestSlackFraction = 0.4
+	// deadline, load tests included.
+	loadTestSlackFraction = moveSlackFraction
+	// requestCanaryFraction reduces the share of requests without a session that go to the
+	// new version in the first half, for the sake of a load test.
+	requestCanaryFraction = 0.6
 )
 
 // MayLoadTest reports whether this instance is to run a load test as soon as it can.
@@ -36,7 +45,7 @@
 // request that the old version has just answered. The callers of copies get the
 // old version's answer, and every copy that fails speaks against the new version.
 func (t *Trial) MayLoadTest(now time.Time) bool {
-	elapsed := now.Sub(t.startTime) - time.Duration(t.Rank)*loadTestRankDelay
+	elapsed := now.Sub(t.startTime) - t.loadTestDelay()
 	due := 0
 	switch {
 	case elapsed >= t.secondLoadTest():
@@ -44,7 +53,15 @@
 	case elapsed >= t.earliestMove():
 		due = 1
 	}
-	return t.state == Running && !t.hasMoveStarted(now) && t.allLoadTests() < due
+	return t.state == Running && t.moveAt == 0 && now.Sub(t.startTime)+clearanceDelay < t.latestMove() && t.allLoadTests() < due
+}
+
+// loadTestDelay returns how long this instance leaves a load test to those of lower ranks.
+func (t *Trial) loadTestDelay() time.Duration {
+	if t.Rank < collectorRanks {
+		return time.Duration(t.Rank) * loadTestRankDelay
+	}
+	return time.Duration(othersLoadTest*float64(t.Order.Duration)) + time.Duration(t.Rank-collectorRanks)*loadTestRankDelay
 }
 
 // allLoadTests returns the number of load tests of all instances, as far as known here.
@@ -75,12 +92,22 @@
 	if !t.MayLoadTest(now) {
 		return LoadTestSize{}
 	}
-	most := min(loadTestRounds*slots, t.roomForCopies(now))
-	if float64(most) < minLoadTestRounds*float64(slots) {
+	most := min(max(loadTestRounds*slots, maxCopies), t.roomForCopies(now))
+	if most < max(minCopies, slots) {
 		return LoadTestSize{}
 	}
 	t.loadTests++
-	return LoadTestSize{Most: most, Sufficient: sufficientLoadTestRounds * slots}
+	return LoadTestSize{Most: most, Sufficient: max(sufficientLoadTestRounds*slots, sufficientCopies)}
+}
+
+// CancelLoadTest records that a load test has sent nothing to the new version, so that
+// another one may follow.
+func (t *Trial) CancelLoadTest() { t.loadTests-- }
+
+// latestMove returns the latest time since the order at which the traffic may move if the
+// trial is to be completed in time.
+func (t *Trial) latestMove() time.Duration {
+	return t.Order.Duration - completionLead - clearanceInterval
 }
 
 // roomForCopies returns how many copies the bound on exposure covers. An instance that
@@ -92,20 +119,34 @@
 		}
 		return t.summaryRoom
 	}
-	latest := t.Order.Duration - completionLead - clearanceInterval
-	room := loadTestSlackFraction*t.bounds.ExposeSlack - t.exposureBeyond(now, latest) - float64(t.running())
+	room := loadTestSlackFraction*t.bounds.ExposeSlack - t.exposureBeyond(now, t.latestMove()) - float64(t.running())
 	return max(0, int(room/(1-t.bounds.ExposeShare)))
 }
 
-// RecordCopy adds the outcome of a copy that an upstream of the new version has answered,
-// and reports whether that stopped the trial.
-func (t *Trial) RecordCopy(failed bool) bool {
+// Copies are the outcomes of copies of requests that were answered well.
+type Copies struct {
+	New tally.Counts `json:"new"` // on an upstream of the new version under load
+	// Old are copies of the same requests on the old version, if some failed on the new one.
+	Old tally.Counts `json:"old"`
+}
+
+// Plus returns the sum of two Copies.
+func (c Copies) Plus(o Copies) Copies { return Copies{New: c.New.Plus(o.New), Old: c.Old.Plus(o.Old)} }
+
+// Minus returns the difference of two Copies.
+func (c Copies) Minus(o Copies) Copies {
+	return Copies{New: c.New.Minus(o.New), Old: c.Old.Minus(o.Old)}
+}
+
+// RecordLoadTest adds the outcomes of a load test to the evidence, and reports whether they
+// stopped the trial.
+func (t *Trial) RecordLoadTest(c Copies) bool {
 	if t.state != Running {
 		return false
 	}
-	countOutcome(&t.ownCopies.Bad, &t.ownCopies.Good, failed)
+	t.ownCopies = t.ownCopies.Plus(c)
 	return t.stopIfWorse()
 }
 
-// copies returns the outcomes of the copies of all instances.
-func (t *Trial) copies() tally.Counts { return t.ownCopies.Plus(t.others.Copies) }
+// copies returns the outcomes of the load tests of all instances.
+func (t *Trial) copies() Copies { return t.ownCopies.Plus(t.others.Copies) }
--- a/core/trial/loadtest_test.go
+++ b/core/trial/loadtest_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"banyanyard/core/tally"
+
 	"github.com/matryer/is"
 )
 
@@ -19,13 +21,13 @@
 		wantMost int
 	}{
 		{name: "first half", at: 0.4},
-		{name: "due", at: 0.55, wantMost: 24},
-		{name: "little room", at: 0.55, new: 42, wantMost: 13},
+		{name: "due", at: 0.55, wantMost: 18},
+		{name: "little room", at: 0.55, new: 42, wantMost: 14},
 		{name: "no room", at: 0.55, new: 80},
 		{name: "done by another instance", at: 0.55, others: 1},
-		{name: "a second one", at: 0.8, others: 1, wantMost: 24},
-		{name: "later rank", at: 0.55, rank: 5},
-		{name: "later rank, not done in time", at: 0.7, rank: 5, wantMost: 24},
+		{name: "a second one", at: 0.8, others: 1, wantMost: 18},
+		{name: "later rank", at: 0.55, rank: 3},
+		{name: "later rank, not done in time", at: 0.74, rank: 3, wantMost: 18},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -52,27 +54,27 @@
 	}
 }
 
-// TestFailingCopiesStopTrial tells a version that fails under load from one that fails now
-// and then.
+// TestFailingCopiesStopTrial tells a version that fails under load from requests that fail
+// now and then on any version.
 func TestFailingCopiesStopTrial(t *testing.T) {
 	tests := []struct {
 		name        string
-		failed, all int
+		failed, all int // copies on the new version
+		failedOld   int // of 8 on the old one
 		stopped     bool
 		suspicious  bool
 	}{
 		{name: "none", all: 24},
-		{name: "as by chance", failed: 2, all: 24},
-		{name: "some", failed: 8, all: 24, suspicious: true},
+		{name: "as by chance", failed: 3, all: 24},
+		{name: "some", failed: 5, all: 24, suspicious: true},
+		{name: "on both versions", failed: 5, all: 24, failedOld: 2},
 		{name: "half", failed: 12, all: 24, stopped: true, suspicious: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			tr := New(start, order, bounds)
-			for i := range tt.all { // the first copies find no load
-				tr.RecordCopy(i >= tt.all-tt.failed)
-			}
+			tr.RecordLoadTest(Copies{New: tally.Counts{Bad: tt.failed, Good: tt.all - tt.failed}, Old: tally.Counts{Bad: tt.failedOld, Good: 8 - tt.failedOld}})
 			state, _ := tr.State()
 			is.Equal(state == Stopped, tt.stopped)
 			is.Equal(tr.isSuspicious(), tt.suspicious)
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -32,7 +32,6 @@
 
 	"banyanyard/core/era"
 	"banyanyard/core/rollout"
-	"banyanyard/core/tally"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -129,9 +128,9 @@
 	Moved    map[string]rollout.Arm `json:"moved,omitempty"`
 	Exposure Exposure               `json:"exposure"` // of this instance
 	// LoadTests is the number of load tests that the instance has begun, and Copies are
-	// the outcomes of their requests.
-	LoadTests int          `json:"load-tests,omitempty"`
-	Copies    tally.Counts `json:"copies"`
+	// their outcomes.
+	LoadTests int    `json:"load-tests,omitempty"`
+	Copies    Copies `json:"copies"`
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
 	OldRunning int `json:"old-running"`
@@ -188,7 +187,7 @@
 	arrivals        map[string]*arrivals // of the other instances, by reports
 	ownRunning      int                  // see Report.Running
 	loadTests       int                  // see Report.LoadTests
-	ownCopies       tally.Counts         // see Report.Copies
+	ownCopies       Copies               // see Report.Copies
 	summaryGood     int                  // good answers of the new version at all instances, from summaries
 	summaryTests    int                  // load tests of all instances, from summaries
 	summaryRoom     int                  // see Summary.RoomForCopies
@@ -290,6 +289,9 @@
 		key := session
 		if key == "" {
 			key = request
+			if now.Sub(t.startTime) < t.earliestMove() {
+				share *= requestCanaryFraction
+			}
 		}
 		toNew = t.keyInShare(key, share) && !t.usesOldElsewhere(now, session) && !t.leavesRoomForLoadTest(now, session) && t.WithinExposeShare()
 	}
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -168,14 +168,16 @@
 	ticker := time.NewTicker(trialCheckInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
+		report := n%checksPerReport == 0
 		select {
 		case <-ticker.C:
-		case <-c.Router.trialStops:
+		case <-c.Router.trialNews:
+			report = true
 		case <-ctx.Done():
 			return
 		}
 		for _, check := range c.checkTrials(time.Now()) {
-			c.publishCheck(ctx, check, n%checksPerReport == 0)
+			c.publishCheck(ctx, check, report)
 			c.writeRecord(ctx, check)
 		}
 	}
--- a/node/exchange/loadtest.go
+++ b/node/exchange/loadtest.go
@@ -8,34 +8,50 @@
 
 	"banyanyard/core/placement"
 	"banyanyard/core/routing"
+	"banyanyard/core/tally"
 	"banyanyard/core/trial"
 )
 
 const (
 	// loadTestTime bounds a load test. Copies that are not sent by then are not sent.
-	loadTestTime = 400 * time.Millisecond
+	loadTestTime = 600 * time.Millisecond
 	// minLoadTestWork is the time that an answer must have taken for copies of its request
 	// to load an upstream: shorter ones would end before others arrive.
 	minLoadTestWork = 5 * time.Millisecond
+	// sufficientFailures is the number of copies that fail after which a load test ends.
+	sufficientFailures = 8
+	// screeningControls is the number of copies that the old version gets first. If more than
+	// maxScreeningFailures of them fail, another request is to be used. maxControls is the
+	// number if copies fail on the new version, and controlWorkers how many run at once.
+	screeningControls    = 6
+	maxScreeningFailures = 1
+	maxControls          = 12
+	controlWorkers       = 2
 )
 
 // A loadTest sends copies of a request to one upstream of the new version of a trial, as
-// many at once as the upstream has slots. See trial.Trial.MayLoadTest.
+// many at once as the upstream has slots. Others go to the old version, before that and, if
+// some failed, after it, to find out whether the request fails there too. See
+// trial.Trial.MayLoadTest.
 type loadTest struct {
 	router    *Router
 	trial     *trial.Trial
 	execution *execution // of the request, which has ended
 	upstream  placement.Upstream
+	size      trial.LoadTestSize
 
-	size                   trial.LoadTestSize
-	stopped                bool // an upstream that breaks off or refuses tells nothing about the version; guarded by router.mu
-	sent, failed, answered int  // guarded by router.mu
+	// Guarded by router.mu.
+	sent      int // copies to the new version
+	controls  int // copies to the old version
+	copies    trial.Copies
+	brokenOff bool // an upstream refused a copy or broke it off, which tells nothing about the version
 }
 
 // startLoadTest starts a load test with copies of a request that was answered well, if one
 // is due and the request may run again.
 func (r *Router) startLoadTest(e *execution, slot *placement.Slot, result attemptResult) {
 	if l := r.takeLoadTest(e, slot, result); l != nil {
+		r.signalTrialNews()
 		go l.run()
 	}
 }
@@ -74,52 +90,98 @@
 	return &loadTest{router: r, trial: t, execution: e, upstream: first.Upstream, size: size}
 }
 
-// run sends the copies and logs the result.
+// run sends the copies, records their outcomes, and logs them.
 func (l *loadTest) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTestTime)
 	defer cancel()
-	var workers sync.WaitGroup
-	for range l.upstream.Slots {
-		workers.Go(func() {
-			for slot := l.reserve(ctx); slot != nil; slot = l.reserve(ctx) {
-				l.record(slot, l.send(ctx, slot))
+	l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
+	l.sendAll(ctx, l.upstream.Slots, l.reserve, &l.copies.New)
+	l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
+	r := l.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.log()
+	if l.sent == 0 {
+		l.trial.CancelLoadTest()
+		return
+	}
+	if l.trial.RecordLoadTest(l.copies) {
+		r.signalTrialStop(l.trial, "load test")
+	}
+}
+
+// sendAll sends copies until no more can be reserved, as many at once as there are workers,
+// and counts the answers.
+func (l *loadTest) sendAll(ctx context.Context, workers int, reserve func(context.Context) *placement.Slot, answers *tally.Counts) {
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for slot := reserve(ctx); slot != nil; slot = reserve(ctx) {
+				l.release(slot, l.send(ctx, slot), answers)
 			}
 		})
 	}
-	workers.Wait()
-	l.log()
+	group.Wait()
 }
 
-// reserve returns a slot for the next copy, or nil if there is none.
+// reserve returns a slot for the next copy to the new version, or nil if there is none.
 func (l *loadTest) reserve(ctx context.Context) *placement.Slot {
 	r := l.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	state, _ := l.trial.State()
-	if ctx.Err() != nil || l.stopped || l.isComplete() || state != trial.Running || !r.retryBudget(l.upstream.Service).Spend(now) {
+	bad := l.copies.New.Bad
+	screened := l.copies.Old.Bad <= maxScreeningFailures && l.copies.Old.N() >= screeningControls
+	if !screened || l.sent >= l.size.Most || bad == 0 && l.sent >= l.size.Sufficient || bad >= sufficientFailures {
 		return nil
 	}
-	slot, _ := r.fleet.Pick(now, placement.Criteria{Service: l.upstream.Service, Only: l.upstream.ID})
-	if slot == nil {
+	slot := l.pick(ctx, placement.Criteria{Service: l.upstream.Service, Only: l.upstream.ID})
+	if slot != nil {
+		l.sent++
+		l.trial.CountAttempt(true)
+	}
+	return slot
+}
+
+// reserveControl returns a slot for the next copy to the old version, or nil if there is
+// none or none is needed.
+func (l *loadTest) reserveControl(ctx context.Context) *placement.Slot {
+	r := l.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case l.sent == 0 && (l.controls >= screeningControls || l.copies.Old.Bad > maxScreeningFailures):
 		return nil
+	case l.sent > 0 && (l.copies.New.Bad == 0 || l.controls >= maxControls):
+		return nil
+	}
+	to := l.trial.Order.To
+	slot := l.pick(ctx, placement.Criteria{Service: l.upstream.Service, AcceptsVersion: func(version string) bool { return version != to }})
+	if slot != nil {
+		l.controls++
+		l.trial.CountAttempt(false)
 	}
-	l.sent++
-	l.trial.CountAttempt(true)
 	return slot
 }
 
-// isComplete reports whether no more copies are to be sent. The caller holds router.mu.
-func (l *loadTest) isComplete() bool {
-	return l.sent >= l.size.Most || l.failed == 0 && l.sent >= l.size.Sufficient
+// pick picks an upstream for a copy unless the load test is to end. The caller holds
+// router.mu.
+func (l *loadTest) pick(ctx context.Context, criteria placement.Criteria) *placement.Slot {
+	now := time.Now()
+	state, _ := l.trial.State()
+	if ctx.Err() != nil || l.brokenOff || state != trial.Running || !l.router.retryBudget(criteria.Service).Spend(now) {
+		return nil
+	}
+	slot, _ := l.router.fleet.Pick(now, criteria)
+	return slot
 }
 
 // send sends a copy and returns how it ended.
 func (l *loadTest) send(ctx context.Context, slot *placement.Slot) placement.Outcome {
-	left := time.Until(l.execution.request.Deadline)
+	start := time.Now()
+	left := l.execution.request.Deadline.Sub(start)
 	answer, err := l.router.Transport.Send(ctx, &Attempt{Request: l.execution.request, Upstream: slot.Upstream, TimeLeft: left, HeadTimeout: left})
 	if err != nil {
-		return l.execution.classifySendError(ctx, err, time.Now()).outcome
+		return l.execution.classifySendError(ctx, err, start).outcome
 	}
 	defer answer.Close()
 	head := answer.Head()
@@ -129,7 +191,7 @@
 	case head.NotRun:
 		return placement.Refused
 	}
-	if _, err := answer.ReadBody(maxBodyBytes, time.Until(l.execution.request.Deadline)); err != nil {
+	if _, err := answer.ReadBody(maxBodyBytes, left); err != nil {
 		return l.execution.classifyReadError(ctx, err).outcome
 	}
 	if head.Status >= http.StatusInternalServerError {
@@ -138,34 +200,28 @@
 	return placement.Completed
 }
 
-// record releases the slot of a copy and adds its outcome to the evidence.
-func (l *loadTest) record(slot *placement.Slot, outcome placement.Outcome) {
+// release releases the slot of a copy and counts its answer.
+func (l *loadTest) release(slot *placement.Slot, outcome placement.Outcome, answers *tally.Counts) {
 	r := l.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	failed := outcome == placement.Failed
-	if failed || outcome == placement.Completed {
-		l.answered++
-		if failed {
-			l.failed++
-		}
-		if l.trial.RecordCopy(failed) {
-			r.signalTrialStop(l.trial, "load test")
-		}
-		// A failure under load must not keep callers from the upstream.
-		outcome = placement.Canceled
-	} else {
-		l.stopped = true
+	switch outcome {
+	case placement.Completed:
+		answers.Good++
+	case placement.Failed:
+		answers.Bad++
+		outcome = placement.Canceled // it says nothing about this upstream beside others
+	default:
+		l.brokenOff = true
 	}
 	r.fleet.Release(time.Now(), slot, outcome)
 }
 
+// log logs the result. The caller holds router.mu.
 func (l *loadTest) log() {
-	r := l.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	o := l.trial.Order
-	r.Log.Line("rollout-load-test").Str("service", o.Service).Str("to", o.To).Str("version", o.Revision.String()).
+	l.router.Log.Line("rollout-load-test").Str("service", o.Service).Str("to", o.To).Str("version", o.Revision.String()).
 		Str("request", l.execution.request.ID).Str("upstream", l.upstream.ID).Millis("age-ms", time.Since(l.trial.StartTime())).
-		Int("sent", int64(l.sent)).Int("answered", int64(l.answered)).Int("failed", int64(l.failed)).Bool("broken-off", l.stopped).End()
+		Int("sent", int64(l.sent)).Int("answered", int64(l.copies.New.N())).Int("failed", int64(l.copies.New.Bad)).
+		Int("controls", int64(l.copies.Old.N())).Int("controls-failed", int64(l.copies.Old.Bad)).Bool("broken-off", l.brokenOff).End()
 }
--- a/node/exchange/records_test.go
+++ b/node/exchange/records_test.go
@@ -101,7 +101,7 @@
 	r := g.coordinators[instance].Router
 	r.AdoptTrialState("s", "v2", trial.Stopped, "test")
 	select {
-	case r.trialStops <- struct{}{}:
+	case r.trialNews <- struct{}{}:
 	default:
 	}
 }
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -60,9 +60,10 @@
 	domainDemand load.Domains
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
 	sessionLastSeen map[string]time.Time
-	// trialStops signals that the evidence has stopped a trial. Its capacity is 1:
+	// trialNews signals that the evidence has stopped a trial, or that a load test has begun.
+	// Other instances are to learn of either at once. Its capacity is 1:
 	// if the channel is full, a check of all trials is already due.
-	trialStops chan struct{}
+	trialNews chan struct{}
 }
 
 // maxOutgoing is the number of entries that can wait to be published.
@@ -84,7 +85,7 @@
 		escalators:      map[string]*cascade.Escalator{},
 		answerTimes:     map[string]*answerTime{},
 		sessionLastSeen: map[string]time.Time{},
-		trialStops:      make(chan struct{}, 1),
+		trialNews:       make(chan struct{}, 1),
 	}
 }
 
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -151,12 +151,16 @@
 		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
 }
 
-// signalTrialStop logs that a trial has been stopped and signals it on trialStops. The
+// signalTrialStop logs that a trial has been stopped and signals it on trialNews. The
 // caller holds mu.
 func (r *Router) signalTrialStop(t *trial.Trial, source string) {
 	r.logTrial(t, source)
+	r.signalTrialNews()
+}
+
+func (r *Router) signalTrialNews() {
 	select {
-	case r.trialStops <- struct{}{}:
+	case r.trialNews <- struct{}{}:
 	default:
 	}
 }
