core/trial: few failures hold the move back

Cause: 'nothing speaks against the version' let two failures of 30 answers pass where the old version had none of 200. A version that fails a twentieth or a seventh of its requests was mostly completed.

Change: a threshold of its own for failures that upstreams report, each kind of request compared with itself: a logarithm of the likelihood ratio of 1.0 instead of 2.0.

TestFewFailuresHoldTheMoveBack fails before (two failures).

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -22,6 +22,10 @@
 	// requests and by one kind.
 	maxLogRatio     = 2.0
 	maxKindLogRatio = 4.6
+	// maxFailureLogRatio is the same for failures that upstreams report, each kind compared
+	// with itself: neither load nor caches explain them. Ordering a good version again costs
+	// less than a bad one that stays.
+	maxFailureLogRatio = 1.0
 	// maxCopiesLogRatio is the same for the copies of load tests.
 	maxCopiesLogRatio = 1.0
 )
--- a/core/trial/evidence.go
+++ b/core/trial/evidence.go
@@ -125,7 +125,7 @@
 		failures += f
 		durations += d
 	}
-	return max(failures, durations, rollout.MaxLogRatio(total, latencyThreshold, eventGapThreshold)) > maxLogRatio
+	return failures > maxFailureLogRatio || max(durations, rollout.MaxLogRatio(total, latencyThreshold, eventGapThreshold)) > maxLogRatio
 }
 
 func (t *Trial) copiesLogRatio() float64 {
--- a/core/trial/loadtest_test.go
+++ b/core/trial/loadtest_test.go
@@ -81,3 +81,32 @@
 		})
 	}
 }
+
+// TestFewFailuresHoldTheMoveBack guards against versions of which a small part of the answers
+// fails: the few answers before the move show two failures where the old version has none.
+func TestFewFailuresHoldTheMoveBack(t *testing.T) {
+	tests := []struct {
+		name       string
+		failed     int // of 30 answers of the new version
+		failedOld  int // of 200
+		suspicious bool
+	}{
+		{name: "none"},
+		{name: "one", failed: 1},
+		{name: "two", failed: 2, suspicious: true},
+		{name: "as on the old version", failed: 3, failedOld: 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			for i := range 200 {
+				tr.RecordOutcome(Observation{Kind: "k", Answered: true, Failed: i < tt.failedOld})
+			}
+			for i := range 30 {
+				tr.RecordOutcome(Observation{New: true, Kind: "k", Answered: true, Failed: i < tt.failed})
+			}
+			is.Equal(tr.isSuspicious(), tt.suspicious)
+		})
+	}
+}
