node/exchange: waits end only where another attempt may follow

What callers saw: streams that may not be resumed, or had no attempt left, were cut after 1.6 s without an event though their upstream was sound and went on; requests whose upstream did not read a large body for more than a second ended 502.

Cause: a bound made for looking elsewhere (twice the gap target; 1 s of TCP silence) was applied where nothing can be looked for elsewhere.

Change: waits for a head and for events are bounded only if the kind may be repeated and the route and the retry budget allow another attempt; otherwise the connection bears 5 s of silence.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -99,6 +99,9 @@
 	// DialTimeout bounds the opening of a connection; 0 means the default of
 	// package tcp.
 	DialTimeout time.Duration
+	// UserTimeout is how long the upstream may acknowledge or read nothing; 0 means the
+	// default of package tcp.
+	UserTimeout time.Duration
 }
 
 // A Client sends requests to upstreams and keeps idle connections to them. The
@@ -119,6 +122,7 @@
 	address       string
 	reused        bool
 	usableUntil   time.Time     // when the idle connection expires
+	userTimeout   time.Duration // see Request.UserTimeout
 	detachContext func() bool   // stops the request's context from closing the connection
 	written       chan struct{} // closed once the body is written; nil if it was written inline
 }
@@ -131,6 +135,10 @@
 	if err != nil {
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
+	if err := cn.setUserTimeout(r.UserTimeout); err != nil {
+		_ = cn.Close()
+		return nil, &UnreachableError{Address: address, Cause: err}
+	}
 	cn.detachContext = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := cn.roundTrip(r)
 	if err != nil {
@@ -228,6 +236,14 @@
 	}
 }
 
+func (cn *conn) setUserTimeout(d time.Duration) error {
+	if cn.userTimeout == d {
+		return nil
+	}
+	cn.userTimeout = d
+	return tcp.SetUserTimeout(cn.Conn, d)
+}
+
 func (cn *conn) discard() {
 	if cn.detachContext != nil {
 		cn.detachContext()
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -250,3 +250,61 @@
 		t.Run(tt.field, func(t *testing.T) { is.New(t).Equal(idleTimeout(tt.field), tt.want) })
 	}
 }
+
+// TestUpstreamThatPausesBeforeItReadsIsWaitedFor guards against a request that is lost because
+// a sound upstream reads nothing of its body for longer than the default of package tcp.
+func TestUpstreamThatPausesBeforeItReadsIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	const pause = 1800 * time.Millisecond
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetReadBuffer(64 << 10)
+				time.Sleep(pause)
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if n, err := io.Copy(io.Discard, r.Body); err == nil {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%d", len(fmt.Sprint(n)), n)
+				}
+			}()
+		}
+	}()
+	body := make([]byte, 4<<20)
+	tests := []struct {
+		name        string
+		userTimeout time.Duration
+		answered    bool
+	}{
+		{name: "waited for", userTimeout: 2 * pause, answered: true},
+		{name: "given up", userTimeout: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var client Client
+			t.Cleanup(client.Close)
+			response, err := client.Do(t.Context(), l.Addr().String(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body, UserTimeout: tt.userTimeout})
+			is.Equal(err == nil, tt.answered)
+			if err != nil {
+				return
+			}
+			defer response.Close()
+			count, err := io.ReadAll(response)
+			is.NoErr(err)
+			is.Equal(string(count), fmt.Sprint(len(body)))
+		})
+	}
+}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -15,9 +15,9 @@
 // Timeouts and keep-alive settings of a connection.
 const (
 	dialTimeout = time.Second
-	// userTimeout is how long sent data may stay unacknowledged before the
+	// userTimeout is how long sent data may stay unacknowledged by default before the
 	// kernel closes the connection (RFC 5482): long enough for two
-	// retransmissions on a path with a short round trip.
+	// retransmissions on a path with a short round trip. See SetUserTimeout.
 	userTimeout       = time.Second
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
@@ -32,7 +32,7 @@
 		Interval: keepAliveInterval,
 		Count:    keepAliveCount,
 	},
-	Control: setUserTimeout,
+	Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) },
 }
 
 // A DialFunc opens a connection, like net.Dialer.DialContext.
@@ -51,10 +51,28 @@
 	return dial
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// SetUserTimeout sets how long sent data and keep-alive probes may stay unacknowledged, or
+// data wait for a remote end that reads nothing, before the kernel closes the connection; 0
+// means the default of this package. It does nothing for a connection that is not a socket.
+func SetUserTimeout(c net.Conn, d time.Duration) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if d == 0 {
+		d = userTimeout
+	}
+	return setUserTimeout(raw, d)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var err error
 	controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
 	})
 	if controlErr != nil {
 		return controlErr
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -92,6 +92,9 @@
 	TimeLeft    time.Duration // until the caller's deadline
 	// HeadTimeout bounds the wait for the head of the answer; 0 means TimeLeft.
 	HeadTimeout time.Duration
+	// SilenceTimeout is how long the upstream may acknowledge or read nothing; 0 means the
+	// transport's default.
+	SilenceTimeout time.Duration
 }
 
 // A Head is the status and header of an answer.
@@ -128,7 +131,7 @@
 type Answer interface {
 	Head() Head
 	// NextEvent returns the next whole event of a stream, or io.EOF after the
-	// last event of a complete stream. It waits for at most the gap.
+	// last event of a complete stream. It waits for at most the gap; 0 means no bound.
 	NextEvent(gap time.Duration) (Event, error)
 	// ReadBody returns the whole body of an answer that isn't a stream. A body of
 	// more than limit bytes is an error, and one that does not end within the time; 0
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -198,6 +198,13 @@
 	r.retryBudget(service).RecordRequest(time.Now())
 }
 
+// mayRetry reports whether the retry budget of a service allows another attempt.
+func (r *Router) mayRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retryBudget(service).Remaining(time.Now()) >= 1
+}
+
 func (r *Router) spendRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -39,9 +39,13 @@
 	// headLatencyFactor is the multiple of the average latency for the same purpose;
 	// the longer of the two times applies.
 	headLatencyFactor = 4
-	// gapTargetFactor is the multiple of the gap target after which a silent stream
-	// is given up, and continued at another upstream if its kind allows it.
+	// gapTargetFactor is the multiple of the gap target after which a silent stream is
+	// continued at another upstream, if its kind allows that.
 	gapTargetFactor = 2.0
+	// lastSilenceTimeout is how long the upstream of an attempt that no other can follow may
+	// acknowledge or read nothing. A sound upstream may pause; giving up on it
+	// loses the request, so it takes a stronger sign that the upstream is gone.
+	lastSilenceTimeout = 5 * time.Second
 	// minRetryAfter and retryAfterJitter are the minimum and the random part of the
 	// Retry-After time. It is random so that callers do not retry all at once.
 	minRetryAfter    = 300 * time.Millisecond
@@ -238,8 +242,10 @@
 	if len(e.models) > 0 {
 		a.Model = e.models[e.modelIndex]
 	}
-	if e.request.Route.Kind.Repeatable() && e.attempts < e.request.Route.MaxAttempts {
+	if e.mayFollow() {
 		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
+	} else {
+		a.SilenceTimeout = lastSilenceTimeout
 	}
 	reading := e.router.demands.begin(e.request.Service)
 	defer reading.end()
@@ -265,6 +271,22 @@
 	return result
 }
 
+// mayFollow reports whether another attempt may follow the one in progress, so that giving up
+// on its upstream for a pause gains anything.
+func (e *execution) mayFollow() bool {
+	route := e.request.Route
+	return route.Kind.Repeatable() && e.attempts < route.MaxAttempts && e.router.mayRetry(e.request.Service)
+}
+
+// gapTimeout returns how long a stream may be silent before it is continued at another
+// upstream; 0 if it cannot be.
+func (e *execution) gapTimeout() time.Duration {
+	if !e.mayFollow() {
+		return 0
+	}
+	return time.Duration(gapTargetFactor * float64(e.request.Route.GapTarget))
+}
+
 // classifySendError returns the result of an attempt that got no answer.
 func (e *execution) classifySendError(ctx context.Context, err error, start time.Time) attemptResult {
 	result := attemptResult{outcome: placement.Broken, err: err, took: time.Since(start)}
@@ -338,10 +360,9 @@
 	if e.shouldEscalate(answer.Head()) {
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
-	gapTimeout := time.Duration(gapTargetFactor * float64(e.request.Route.GapTarget))
 	meter := newSpanMeter(e, slot)
 	for {
-		event, err := answer.NextEvent(gapTimeout)
+		event, err := answer.NextEvent(e.gapTimeout())
 		if errors.Is(err, io.EOF) {
 			meter.end(false)
 			result := e.endStream(answer.Head())
