io/tcp: errors of Accept that pass do not end a process

Cause: Serve of io/peer returned every error of Accept, and a process ends with any of its listeners.

Change: AcceptLoop pauses for 5 ms to 1 s and tries again where the error may pass, and reports it. Related: DrainingListener took such an error for the end of its queue; SplitProtocols stopped listening.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -61,7 +61,7 @@
 	var n network.Network
 	l, err := n.Listen("10.0.0.1:8081", "d0")
 	is.NoErr(err)
-	rpc, http := SplitProtocols(t.Context(), l)
+	rpc, http := SplitProtocols(t.Context(), l, func(err error) { t.Error(err) })
 	for _, tt := range []struct {
 		first string
 		to    net.Listener
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"sync"
 
 	"banyanyard/core/gossip"
+	"banyanyard/io/tcp"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -73,6 +73,10 @@
 
 // A Server answers the calls of other instances.
 type Server struct {
+	// OnAcceptError, if not nil, is called when a connection could not be accepted, for
+	// example for want of descriptors. The server tries again.
+	OnAcceptError func(error)
+
 	handler GossipHandler
 	traffic *Traffic
 
@@ -88,16 +92,13 @@
 
 // Serve accepts connections until the listener is closed, and then returns nil.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	return tcp.AcceptLoop(ctx, l, func(c net.Conn) {
 		s.track(newConn(ctx, s.traffic.countConn(c), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))))
-	}
+	}, func(err error) {
+		if s.OnAcceptError != nil {
+			s.OnAcceptError(err)
+		}
+	})
 }
 
 func (s *Server) track(c *jsonrpc2.Conn) {
--- a/io/peer/split.go
+++ b/io/peer/split.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"banyanyard/io/tcp"
 )
 
 // firstByteTimeout bounds the wait for the byte that identifies the protocol.
@@ -16,19 +18,15 @@
 const rpcFirstByte = 'C'
 
 // SplitProtocols lets JSON-RPC and HTTP share the address of l: it returns a
-// listener for each. Both stop when l fails or is closed; closing either closes l.
-func SplitProtocols(ctx context.Context, l net.Listener) (rpc, http net.Listener) {
+// listener for each. Both stop when l fails or is closed; closing either closes l. failed is
+// called for errors of Accept that may pass.
+func SplitProtocols(ctx context.Context, l net.Listener, failed func(error)) (rpc, http net.Listener) {
 	r, h := newProtocolListener(l), newProtocolListener(l)
 	go func() {
 		defer r.stop()
 		defer h.stop()
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go dispatchConn(ctx, c, r, h)
-		}
+		// Another error than the end of the listener shows at both listeners as their end.
+		_ = tcp.AcceptLoop(ctx, l, func(c net.Conn) { go dispatchConn(ctx, c, r, h) }, failed)
 	}()
 	return r, h
 }
--- a/io/tcp/drain.go
+++ b/io/tcp/drain.go
@@ -40,7 +40,7 @@
 		l.setDeadline()
 		c, err = l.Listener.Accept()
 	}
-	if err != nil {
+	if err != nil && !isPassing(err) {
 		if l.closeBy.Load() > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = net.ErrClosed
 		}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -154,6 +154,7 @@
 // context ends. It closes the listener.
 func (m *Mesh) Run(ctx context.Context, l net.Listener, seeds []string) error {
 	server := peer.NewServer(handler{m}, &m.traffic)
+	server.OnAcceptError = func(err error) { m.log.Line("accept-failed").Str("listener", "peers").Err(err).End() }
 	defer server.Close()
 	defer m.client.Close()
 	go m.runLoop(ctx, seeds)
--- a/node/serve.go
+++ b/node/serve.go
@@ -69,7 +69,9 @@
 	peers := peer.NewServer(peerHandler{n}, &n.traffic)
 	defer peers.Close()
 	n.start(work)
-	rpc, handedOver := peer.SplitProtocols(work, withTLS(l.Peers, n.peerServerTLS))
+	acceptFailed := func(err error) { n.log.WithError(err).Warn("accept-failed") }
+	peers.OnAcceptError = acceptFailed
+	rpc, handedOver := peer.SplitProtocols(work, withTLS(l.Peers, n.peerServerTLS), acceptFailed)
 	servers := servers{
 		callers:    n.newServer(n.handOver),
 		handedOver: n.newServer(n.handler),
