--- a/node/serve.go
+++ b/node/serve.go
@@ -56,6 +56,8 @@
 	return l, nil
 }
 
+func (n *Node) logAcceptError(err error) { n.log.WithError(err).Warn("accept-failed") }
+
 // Serve runs the instance until ctx is done, and then stops it gracefully: the
 // instance reports that it is not ready, finishes its requests and writes its
 // charges. It returns ErrAborted after Abort.
@@ -69,9 +71,8 @@
 	peers := peer.NewServer(peerHandler{n}, &n.traffic)
 	defer peers.Close()
 	n.start(work)
-	acceptFailed := func(err error) { n.log.WithError(err).Warn("accept-failed") }
-	peers.OnAcceptError = acceptFailed
-	rpc, handedOver := peer.SplitProtocols(work, withTLS(l.Peers, n.peerServerTLS), acceptFailed)
+	peers.OnAcceptError = n.logAcceptError
+	rpc, handedOver := peer.SplitProtocols(work, withTLS(l.Peers, n.peerServerTLS), n.logAcceptError)
 	servers := servers{
 		callers:    n.newServer(n.handOver),
 		handedOver: n.newServer(n.handler),
