io/http1: idle connections expire without another request

Cause: an idle connection was closed only when the next request for its address found it too old. An upstream that left gets none.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -212,6 +212,37 @@
 	c.idle[cn.address] = append(idle, cn)
 }
 
+// CloseExpired closes the idle connections that have expired, among them those to upstreams
+// that get no more requests. It is to be called regularly. It returns the number of idle
+// connections that are left.
+func (c *Client) CloseExpired(now time.Time) int {
+	var expired []*conn
+	left := 0
+	c.mu.Lock()
+	for address, idle := range c.idle {
+		kept := idle[:0]
+		for _, cn := range idle {
+			if now.Before(cn.usableUntil) {
+				kept = append(kept, cn)
+			} else {
+				expired = append(expired, cn)
+			}
+		}
+		left += len(kept)
+		clear(idle[len(kept):])
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = kept
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range expired {
+		_ = cn.Close()
+	}
+	return left
+}
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -308,3 +308,41 @@
 		})
 	}
 }
+
+// TestIdleConnectionsExpire guards against connections to upstreams that left, which nothing
+// closed until the process had no descriptors left.
+func TestIdleConnectionsExpire(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan int, 3)
+	serve := func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				closed <- n
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	var client Client
+	defer client.Close()
+	left, stays := startServer(t, serve), startServer(t, serve)
+	get := func(address string) {
+		response, err := client.Do(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		is.NoErr(err)
+		_, err = io.ReadAll(response)
+		is.NoErr(err)
+		response.Close()
+	}
+	get(left)
+	get(stays)
+	now := time.Now()
+	is.Equal(client.CloseExpired(now), 2)
+	is.Equal(client.CloseExpired(now.Add(9*time.Second)), 2)
+	client.mu.Lock()
+	client.idle[stays][0].usableUntil = now.Add(time.Minute) // it has been used since
+	client.mu.Unlock()
+	is.Equal(client.CloseExpired(now.Add(11*time.Second)), 1)
+	<-closed
+	is.Equal(len(client.idle), 1) // nothing is kept for the upstream that left
+	get(stays)
+}
