core/trial: the move waits for a load test, and one that sends nothing does not count

No load test had taken place: the first instances in rank had no suitable request in time, and as few requests had gone to the new version, the traffic moved early.

Change: the move waits while a load test may still be in time and some instance has had a request to copy. A load test is counted when its first copy goes to the new version, and is looked up again just before. The other instances follow 0.1 of the duration after the collectors, 0.5 s apart.

TestMoveWaitsForLoadTest fails before; TestPreparedLoadTestIsGivenUpForAnother is about code that is new.

--- a/core/trial/clearance.go
+++ b/core/trial/clearance.go
@@ -43,6 +43,9 @@
 	if float64(elapsed) < earliestClearance*float64(t.Order.Duration) || !t.collects() {
 		return
 	}
+	if t.awaitsLoadTest(now) {
+		return
+	}
 	tested := t.goodAnswers() > 0 || t.TotalExposure().All == 0
 	if at, ok := t.nextMove(now); ok && tested && !t.isSuspicious() {
 		t.moveAt = at
--- a/core/trial/evidence.go
+++ b/core/trial/evidence.go
@@ -19,6 +19,7 @@
 	Exposure  Exposure
 	LoadTests int
 	Copies    Copies
+	Copyable  int // number of reports
 }
 
 // replace takes the report of an instance in place of its one before, which is zero for the
@@ -43,6 +44,9 @@
 	s.Exposure = s.Exposure.Minus(before.Exposure).Plus(r.Exposure)
 	s.LoadTests += r.LoadTests - before.LoadTests
 	s.Copies = s.Copies.Minus(before.Copies).Plus(r.Copies)
+	if r.Copyable && !before.Copyable {
+		s.Copyable++
+	}
 }
 
 // totalEvidence returns the evidence of all instances about a kind of request.
--- a/core/trial/loadtest.go
+++ b/core/trial/loadtest.go
@@ -14,12 +14,12 @@
 	// loadTestRankDelay is the time after which the instance of the next rank runs a load
 	// test that has not been reported. An instance can run one only when it has had a
 	// suitable request.
-	loadTestRankDelay = 600 * time.Millisecond
+	loadTestRankDelay = 500 * time.Millisecond
 	// collectorRanks is the number of instances that learn of each other's load tests at
 	// once. The others wait until othersLoadTest, as a fraction of the order's duration, and
 	// learn of them by summaries.
 	collectorRanks = 2
-	othersLoadTest = 0.2
+	othersLoadTest = 0.1
 	// maxSummaryAge is the age of a summary up to which its room for copies is used.
 	maxSummaryAge = time.Second
 	// A load test sends sufficientLoadTestRounds copies for each slot of an upstream, and
@@ -44,7 +44,9 @@
 // that it fails under load. A load test fills the slots of one of them with copies of a
 // request that the old version has just answered. The callers of copies get the
 // old version's answer, and every copy that fails speaks against the new version.
-func (t *Trial) MayLoadTest(now time.Time) bool {
+func (t *Trial) MayLoadTest(now time.Time) bool { return !t.preparing && t.loadTestDue(now) }
+
+func (t *Trial) loadTestDue(now time.Time) bool {
 	elapsed := now.Sub(t.startTime) - t.loadTestDelay()
 	due := 0
 	switch {
@@ -53,7 +55,7 @@
 	case elapsed >= t.earliestMove():
 		due = 1
 	}
-	return t.state == Running && t.moveAt == 0 && now.Sub(t.startTime)+clearanceDelay < t.latestMove() && t.allLoadTests() < due
+	return t.state == Running && t.moveAt == 0 && t.mayBeInTime(now) && t.allLoadTests() < due
 }
 
 // loadTestDelay returns how long this instance leaves a load test to those of lower ranks.
@@ -85,10 +87,10 @@
 	Sufficient int // after which the load test ends if none has failed
 }
 
-// TakeLoadTest returns the size of a load test of an upstream with the given number of
-// slots. It is zero if none is due, or if the bound on exposure has no room for one before
+// PrepareLoadTest returns the size of a load test of an upstream with the given number of
+// slots, of which BeginLoadTest or CancelLoadTest is to be called next. It is zero if none is due, or if the bound on exposure has no room for one before
 // the latest time at which the traffic may move.
-func (t *Trial) TakeLoadTest(now time.Time, slots int) LoadTestSize {
+func (t *Trial) PrepareLoadTest(now time.Time, slots int) LoadTestSize {
 	if !t.MayLoadTest(now) {
 		return LoadTestSize{}
 	}
@@ -96,13 +98,41 @@
 	if most < max(minCopies, slots) {
 		return LoadTestSize{}
 	}
-	t.loadTests++
+	t.preparing = true
 	return LoadTestSize{Most: most, Sufficient: max(sufficientLoadTestRounds*slots, sufficientCopies)}
 }
 
-// CancelLoadTest records that a load test has sent nothing to the new version, so that
-// another one may follow.
-func (t *Trial) CancelLoadTest() { t.loadTests-- }
+// SetCopyable records that this instance has had a request that a load test could copy.
+func (t *Trial) SetCopyable() { t.copyable = true }
+
+// awaitsLoadTest reports whether the traffic does not move yet since a load test, of which
+// there has been none, may still take place.
+func (t *Trial) awaitsLoadTest(now time.Time) bool {
+	if t.allLoadTests() > 0 || !t.mayBeInTime(now) {
+		return false
+	}
+	return t.copyable || t.others.Copyable > 0
+}
+
+// mayBeInTime reports whether a load test that begins now ends in time for a move at the
+// latest time.
+func (t *Trial) mayBeInTime(now time.Time) bool {
+	return now.Sub(t.startTime)+clearanceDelay < t.latestMove()
+}
+
+// BeginLoadTest reports whether the prepared load test may send copies to the new version:
+// it is still due.
+func (t *Trial) BeginLoadTest(now time.Time) bool {
+	t.preparing = false
+	if !t.loadTestDue(now) {
+		return false
+	}
+	t.loadTests++
+	return true
+}
+
+// CancelLoadTest gives up the prepared load test, so that another one may follow.
+func (t *Trial) CancelLoadTest() { t.preparing = false }
 
 // latestMove returns the latest time since the order at which the traffic may move if the
 // trial is to be completed in time.
--- a/core/trial/loadtest_test.go
+++ b/core/trial/loadtest_test.go
@@ -44,16 +44,67 @@
 			}
 			now := start.Add(elapsed)
 			tr.LearnReport(now, "other", Report{To: order.To, Elapsed: elapsed, LoadTests: tt.others})
-			size := tr.TakeLoadTest(now, 6)
+			size := tr.PrepareLoadTest(now, 6)
 			is.Equal(size.Most, tt.wantMost)
 			if size.Most > 0 {
 				is.Equal(size.Sufficient, 12)
-				is.Equal(tr.TakeLoadTest(now, 6).Most, 0) // it is under way
+				is.Equal(tr.PrepareLoadTest(now, 6).Most, 0) // it is under way
+				tr.CancelLoadTest()
+				is.Equal(tr.PrepareLoadTest(now, 6).Most, size.Most)
+				is.True(tr.BeginLoadTest(now))
+				is.Equal(tr.PrepareLoadTest(now, 6).Most, 0)
 			}
 		})
 	}
 }
 
+// TestMoveWaitsForLoadTest guards against a version that gets the traffic before a load test
+// although one could still take place.
+func TestMoveWaitsForLoadTest(t *testing.T) {
+	tests := []struct {
+		name      string
+		copyable  bool // another instance has had a request that a load test could copy
+		loadTests int
+		late      bool // shortly before the latest time of a move
+		moves     bool
+	}{
+		{name: "may come", copyable: true},
+		{name: "has taken place", copyable: true, loadTests: 1, moves: true},
+		{name: "nothing to copy", moves: true},
+		{name: "too late", copyable: true, late: true, moves: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			tr.RecordOutcome(Observation{New: true, Kind: "k", Answered: true})
+			tr.CountAttempt(true)
+			elapsed := order.Duration * 8 / 10
+			if tt.late {
+				elapsed = tr.latestMove() - clearanceDelay
+			}
+			now := start.Add(elapsed)
+			tr.LearnReport(now, "other", Report{To: order.To, Elapsed: elapsed, LoadTests: tt.loadTests, Copyable: tt.copyable})
+			tr.updateClearance(now)
+			is.Equal(tr.moveAt > 0, tt.moves)
+		})
+	}
+}
+
+// TestPreparedLoadTestIsGivenUpForAnother lets another instance report a load test while this
+// one prepares its own.
+func TestPreparedLoadTestIsGivenUpForAnother(t *testing.T) {
+	is := is.New(t)
+	tr := New(start, order, bounds)
+	for range 300 {
+		tr.CountAttempt(false)
+	}
+	now := start.Add(order.Duration * 55 / 100)
+	is.True(tr.PrepareLoadTest(now, 6).Most > 0)
+	tr.LearnReport(now, "other", Report{To: order.To, Elapsed: order.Duration * 55 / 100, LoadTests: 1})
+	is.True(!tr.BeginLoadTest(now))
+}
+
 // TestFailingCopiesStopTrial tells a version that fails under load from requests that fail
 // now and then on any version.
 func TestFailingCopiesStopTrial(t *testing.T) {
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -131,6 +131,8 @@
 	// their outcomes.
 	LoadTests int    `json:"load-tests,omitempty"`
 	Copies    Copies `json:"copies"`
+	// Copyable is true if the instance has had a request that a load test could copy.
+	Copyable bool `json:"copyable,omitempty"`
 	// OldRunning is the number of attempts in flight on the old version once
 	// all new ones go to the new version; -1 before that.
 	OldRunning int `json:"old-running"`
@@ -188,6 +190,8 @@
 	ownRunning      int                  // see Report.Running
 	loadTests       int                  // see Report.LoadTests
 	ownCopies       Copies               // see Report.Copies
+	copyable        bool                 // see Report.Copyable
+	preparing       bool                 // a load test is prepared
 	summaryGood     int                  // good answers of the new version at all instances, from summaries
 	summaryTests    int                  // load tests of all instances, from summaries
 	summaryRoom     int                  // see Summary.RoomForCopies
@@ -533,7 +537,7 @@
 // Report returns this instance's evidence. oldRunning is the number of its
 // attempts in flight on the old version.
 func (t *Trial) Report(now time.Time, oldRunning int) Report {
-	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, LoadTests: t.loadTests, Copies: t.ownCopies, OldRunning: -1, Running: oldRunning, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
+	r := Report{To: t.Order.To, Elapsed: now.Sub(t.startTime), Kinds: map[string]rollout.Evidence{}, Moved: map[string]rollout.Arm{}, Exposure: t.exposure, LoadTests: t.loadTests, Copies: t.ownCopies, Copyable: t.copyable, OldRunning: -1, Running: oldRunning, Stopped: t.state == Stopped, OldSessions: t.oldCanarySessions(now)}
 	for kind, e := range t.ownEvidence {
 		r.Kinds[kind] = e
 	}
--- a/node/exchange/loadtest.go
+++ b/node/exchange/loadtest.go
@@ -51,7 +51,6 @@
 // is due and the request may run again.
 func (r *Router) startLoadTest(e *execution, slot *placement.Slot, result attemptResult) {
 	if l := r.takeLoadTest(e, slot, result); l != nil {
-		r.signalTrialNews()
 		go l.run()
 	}
 }
@@ -71,7 +70,11 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.trials[q.Service]
-	if t == nil || slot.Upstream.Version == t.Order.To || !t.MayLoadTest(now) {
+	if t == nil || slot.Upstream.Version == t.Order.To {
+		return nil
+	}
+	t.SetCopyable()
+	if !t.MayLoadTest(now) {
 		return nil
 	}
 	criteria := e.placementCriteria()
@@ -83,7 +86,7 @@
 	if first.Cold {
 		return nil
 	}
-	size := t.TakeLoadTest(now, first.Upstream.Slots)
+	size := t.PrepareLoadTest(now, first.Upstream.Slots)
 	if size.Most == 0 {
 		return nil
 	}
@@ -95,19 +98,34 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadTestTime)
 	defer cancel()
 	l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
-	l.sendAll(ctx, l.upstream.Slots, l.reserve, &l.copies.New)
-	l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
+	if l.begin() {
+		l.sendAll(ctx, l.upstream.Slots, l.reserve, &l.copies.New)
+		l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
+	}
 	r := l.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.log()
-	if l.sent == 0 {
+	if l.sent > 0 && l.trial.RecordLoadTest(l.copies) {
+		r.signalTrialStop(l.trial, "load test")
+	}
+}
+
+// begin reports whether copies may go to the new version: those to the old version were mostly
+// answered well, and a load test is still due.
+func (l *loadTest) begin() bool {
+	r := l.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.copies.Old.Bad > maxScreeningFailures || l.copies.Old.N() < screeningControls {
 		l.trial.CancelLoadTest()
-		return
+		return false
 	}
-	if l.trial.RecordLoadTest(l.copies) {
-		r.signalTrialStop(l.trial, "load test")
+	if !l.trial.BeginLoadTest(time.Now()) {
+		return false
 	}
+	r.signalTrialNews()
+	return true
 }
 
 // sendAll sends copies until no more can be reserved, as many at once as there are workers,
@@ -130,8 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	bad := l.copies.New.Bad
-	screened := l.copies.Old.Bad <= maxScreeningFailures && l.copies.Old.N() >= screeningControls
-	if !screened || l.sent >= l.size.Most || bad == 0 && l.sent >= l.size.Sufficient || bad >= sufficientFailures {
+	if l.sent >= l.size.Most || bad == 0 && l.sent >= l.size.Sufficient || bad >= sufficientFailures {
 		return nil
 	}
 	slot := l.pick(ctx, placement.Criteria{Service: l.upstream.Service, Only: l.upstream.ID})
