node/exchange: copies of a load test stay within the attempts of the route

Change: they go to the upstream that answered the request. Workers are no more than copies.

Measured: TestVersionThatFailsUnderLoadIsStopped now checks the upstreams of each request, and fails before.

--- a/core/trial/loadtest.go
+++ b/core/trial/loadtest.go
@@ -88,8 +88,9 @@
 }
 
 // PrepareLoadTest returns the size of a load test of an upstream with the given number of
-// slots, of which BeginLoadTest or CancelLoadTest is to be called next. It is zero if none is due, or if the bound on exposure has no room for one before
-// the latest time at which the traffic may move.
+// slots. It is zero if none is due, or if the bound on exposure has no room for one before the
+// latest time at which the traffic may move; otherwise BeginLoadTest or CancelLoadTest is to
+// be called next.
 func (t *Trial) PrepareLoadTest(now time.Time, slots int) LoadTestSize {
 	if !t.MayLoadTest(now) {
 		return LoadTestSize{}
--- a/node/exchange/loadtest.go
+++ b/node/exchange/loadtest.go
@@ -36,8 +36,9 @@
 type loadTest struct {
 	router    *Router
 	trial     *trial.Trial
-	execution *execution // of the request, which has ended
-	upstream  placement.Upstream
+	execution *execution         // of the request, which has ended
+	upstream  placement.Upstream // of the new version
+	old       placement.Upstream // that has answered the request
 	size      trial.LoadTestSize
 
 	// Guarded by router.mu.
@@ -90,7 +91,7 @@
 	if size.Most == 0 {
 		return nil
 	}
-	return &loadTest{router: r, trial: t, execution: e, upstream: first.Upstream, size: size}
+	return &loadTest{router: r, trial: t, execution: e, upstream: first.Upstream, old: slot.Upstream, size: size}
 }
 
 // run sends the copies, records their outcomes, and logs them.
@@ -99,7 +100,7 @@
 	defer cancel()
 	l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
 	if l.begin() {
-		l.sendAll(ctx, l.upstream.Slots, l.reserve, &l.copies.New)
+		l.sendAll(ctx, min(l.upstream.Slots, l.size.Most), l.reserve, &l.copies.New)
 		l.sendAll(ctx, controlWorkers, l.reserveControl, &l.copies.Old)
 	}
 	r := l.router
@@ -171,8 +172,8 @@
 	case l.sent > 0 && (l.copies.New.Bad == 0 || l.controls >= maxControls):
 		return nil
 	}
-	to := l.trial.Order.To
-	slot := l.pick(ctx, placement.Criteria{Service: l.upstream.Service, AcceptsVersion: func(version string) bool { return version != to }})
+	// The same upstream, as the route bounds the number of upstreams that run a request.
+	slot := l.pick(ctx, placement.Criteria{Service: l.old.Service, Only: l.old.ID})
 	if slot != nil {
 		l.controls++
 		l.trial.CountAttempt(false)
--- a/node/exchange/loadtest_test.go
+++ b/node/exchange/loadtest_test.go
@@ -24,8 +24,9 @@
 	mu      sync.Mutex // guards the fields below
 	random  *rand.Rand
 	running map[string]int
-	all     int // attempts
-	new     int // attempts at the new version
+	all     int                        // attempts
+	new     int                        // attempts at the new version
+	byID    map[string]map[string]bool // upstreams that have run a request
 }
 
 // Send implements Transport.
@@ -34,6 +35,10 @@
 	u.mu.Lock()
 	u.running[id]++
 	u.all++
+	if u.byID[a.Request.ID] == nil {
+		u.byID[a.Request.ID] = map[string]bool{}
+	}
+	u.byID[a.Request.ID][id] = true
 	fails := false
 	if a.Upstream.Version == "v2" {
 		u.new++
@@ -58,7 +63,7 @@
 // callAtRandom sends requests through all instances until the order's deadline. It returns
 // the number of those that failed.
 func callAtRandom(g *rolloutGroup, u *loadedUpstreams, perSecond int, copyable bool) int {
-	routes := []*routing.Route{{Name: "hold", Kind: routing.NonIdempotent, MaxAttempts: 3}, {Name: "look-up", Kind: routing.NonIdempotent, MaxAttempts: 3}}
+	routes := []*routing.Route{{Name: "hold", Kind: routing.NonIdempotent, MaxAttempts: 2}, {Name: "look-up", Kind: routing.NonIdempotent, MaxAttempts: 2}}
 	if copyable {
 		routes[1].Kind = routing.Idempotent
 	}
@@ -109,11 +114,14 @@
 					is := is.New(t)
 					const slack = 30
 					g := newBoundedRolloutGroup(t, 7, seed, slack)
-					u := &loadedUpstreams{failing: tt.failing, random: rand.New(rand.NewPCG(seed, 9)), running: map[string]int{}}
+					u := &loadedUpstreams{failing: tt.failing, random: rand.New(rand.NewPCG(seed, 9)), running: map[string]int{}, byID: map[string]map[string]bool{}}
 					failed := callAtRandom(g, u, 24, tt.copyable)
 					is.Equal(g.record.State, tt.want)
 					is.True(float64(u.new) <= 0.15*float64(u.all)+slack) // the bound on exposure
 					is.True(failed <= 3)                                 // no caller gets the failure of a copy
+					for _, upstreams := range u.byID {
+						is.True(len(upstreams) <= 2) // of the attempts that the routes allow
+					}
 				})
 			}
 		})
