core/trial: requests wait for a load test only where one can be sent

Cause: requests without a session went to the new version less often in the first half, and not at all from then to 0.75, also in services whose requests no load test can copy; prompts were not excluded from copies, as the design says.

Change: both only once some instance has had a request to copy; reports and summaries tell that. Requests with a prompt are not copied.

Measured: TestRequestsWithoutSessionAreTried fails before (nothing to copy). In the deployments in force prompts have sessions, so that nothing changes for them there.

--- a/core/trial/loadtest.go
+++ b/core/trial/loadtest.go
@@ -78,7 +78,7 @@
 // version since a load test is to come, which tells more within the same bound on exposure.
 func (t *Trial) leavesRoomForLoadTest(now time.Time, session string) bool {
 	elapsed := now.Sub(t.startTime)
-	return session == "" && elapsed >= t.earliestMove() && elapsed < t.secondLoadTest() && t.allLoadTests() == 0 && t.goodAnswers() > 0
+	return session == "" && t.isCopyable() && elapsed >= t.earliestMove() && elapsed < t.secondLoadTest() && t.allLoadTests() == 0 && t.goodAnswers() > 0
 }
 
 // A LoadTestSize is the number of copies of a load test.
@@ -112,9 +112,12 @@
 	if t.allLoadTests() > 0 || !t.mayBeInTime(now) {
 		return false
 	}
-	return t.copyable || t.others.Copyable > 0
+	return t.isCopyable()
 }
 
+// isCopyable reports whether some instance has had a request that a load test could copy.
+func (t *Trial) isCopyable() bool { return t.copyable || t.others.Copyable > 0 || t.summaryCopyable }
+
 // mayBeInTime reports whether a load test that begins now ends in time for a move at the
 // latest time.
 func (t *Trial) mayBeInTime(now time.Time) bool {
--- a/core/trial/loadtest_test.go
+++ b/core/trial/loadtest_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -105,6 +106,37 @@
 	is.True(!tr.BeginLoadTest(now))
 }
 
+// TestRequestsWithoutSessionAreTried guards against fewer answers of the new version of a service
+// whose requests no load test can copy, such as prompts.
+func TestRequestsWithoutSessionAreTried(t *testing.T) {
+	tests := []struct {
+		name     string
+		copyable bool
+		at       float64 // fraction of the order's duration
+		tried    bool
+	}{
+		{name: "nothing to copy", at: 0.6, tried: true},
+		{name: "a load test is to come", copyable: true, at: 0.6},
+		{name: "none has come", copyable: true, at: 0.8, tried: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := New(start, order, bounds)
+			tr.Instances = 7
+			tr.LearnSummary(start, Summary{To: order.To, Good: 9, Copyable: tt.copyable})
+			now := start.Add(time.Duration(tt.at * float64(order.Duration)))
+			tried := 0
+			for i := range 200 {
+				toNew := tr.ChooseNew(now, "", strconv.Itoa(i))
+				tr.CountAttempt(toNew)
+				tried += map[bool]int{true: 1}[toNew]
+			}
+			is.Equal(tried > 0, tt.tried)
+		})
+	}
+}
+
 // TestFailingCopiesStopTrial tells a version that fails under load from requests that fail
 // now and then on any version.
 func TestFailingCopiesStopTrial(t *testing.T) {
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -156,7 +156,8 @@
 	LoadTests int           `json:"load-tests,omitempty"` // see Report.LoadTests
 	// RoomForCopies is how many copies of a load test the bound on exposure covers.
 	RoomForCopies int  `json:"room-for-copies,omitempty"`
-	Stopped       bool `json:"stopped,omitempty"` // see Report.Stopped
+	Copyable      bool `json:"copyable,omitempty"` // see Report.Copyable; of any instance
+	Stopped       bool `json:"stopped,omitempty"`  // see Report.Stopped
 	// OldSessions are those of all reports.
 	OldSessions OldSessions `json:"old-sessions,omitempty"`
 }
@@ -195,6 +196,7 @@
 	summaryGood     int                  // good answers of the new version at all instances, from summaries
 	summaryTests    int                  // load tests of all instances, from summaries
 	summaryRoom     int                  // see Summary.RoomForCopies
+	summaryCopyable bool                 // see Summary.Copyable
 
 	moveAt           time.Duration // see Summary.MoveAt
 	moveSeen         bool          // hasMoveStarted has reported true
@@ -293,7 +295,7 @@
 		key := session
 		if key == "" {
 			key = request
-			if now.Sub(t.startTime) < t.earliestMove() {
+			if t.isCopyable() && now.Sub(t.startTime) < t.earliestMove() {
 				share *= requestCanaryFraction
 			}
 		}
@@ -512,7 +514,7 @@
 // Summary returns the total over all instances that this instance knows of.
 func (t *Trial) Summary(now time.Time) Summary {
 	t.updateClearance(now)
-	return Summary{To: t.Order.To, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime), MoveAt: t.moveAt, LoadTests: t.allLoadTests(), RoomForCopies: t.roomForCopies(now), Stopped: t.state == Stopped, OldSessions: t.knownOldSessions(now)}
+	return Summary{To: t.Order.To, Good: t.goodAnswers(), Elapsed: now.Sub(t.startTime), MoveAt: t.moveAt, LoadTests: t.allLoadTests(), RoomForCopies: t.roomForCopies(now), Copyable: t.isCopyable(), Stopped: t.state == Stopped, OldSessions: t.knownOldSessions(now)}
 }
 
 // LearnSummary merges the summary of another instance. It reports whether that stopped
@@ -526,6 +528,7 @@
 	t.summaryGood = max(t.summaryGood, s.Good)
 	t.summaryTests = max(t.summaryTests, s.LoadTests)
 	t.summaryRoom = s.RoomForCopies
+	t.summaryCopyable = t.summaryCopyable || s.Copyable
 	// The earlier of two decisions counts, at all instances alike.
 	if s.MoveAt > 0 && (t.moveAt == 0 || s.MoveAt < t.moveAt) {
 		t.moveAt = s.MoveAt
--- a/node/exchange/loadtest.go
+++ b/node/exchange/loadtest.go
@@ -60,7 +60,7 @@
 func (r *Router) takeLoadTest(e *execution, slot *placement.Slot, result attemptResult) *loadTest {
 	q := e.request
 	switch {
-	case q.Route.Kind != routing.Idempotent, e.attempts >= q.Route.MaxAttempts:
+	case q.Route.Kind != routing.Idempotent, q.Prompt.Tokens > 0, e.attempts >= q.Route.MaxAttempts:
 		return nil
 	case result.outcome != placement.Completed || result.status >= http.StatusMultipleChoices || result.took < minLoadTestWork:
 		return nil
