io/http1: a status outside 100 to 599 is a broken answer

Seen by callers: an upstream in trouble sent an answer with the status 000 whose body was a whole response; callers got that inner response. Answers with the status 600 or 999 were passed on as they were. 000, 007 and 099 with another body were not delivered before either.

Cause: net/http accepts each status of three digits. ResponseReader skipped all below 200 as informational, so that the next head was read from what the upstream had sent as a body.

Change: CheckHead says what a valid head is (RFC 9110, section 15). ResponseReader, which all of io/http1, io/engine and io/service read with, checks every head.

Why it works: no head outside the range is skipped or returned; it is a BrokenError as for any answer that is not one: it counts as a failure of the upstream, and the request may have run (502).

--- /dev/null
+++ b/io/http1/head_test.go
@@ -0,0 +1,71 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// okResponse is a whole response.
+const okResponse = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"
+
+// TestInvalidHeadIsBrokenError guards against answers that clients take for something else
+// than the upstream sent.
+func TestInvalidHeadIsBrokenError(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{name: "status 000", text: "HTTP/1.1 000 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status 007", text: "HTTP/1.1 007 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status 099", text: "HTTP/1.1 099 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status 000 before another response", text: "HTTP/1.1 000 Trouble\r\nX-Id: 1\r\n\r\n" + okResponse},
+		{name: "status 099 before another response", text: "HTTP/1.1 099 Trouble\r\nX-Id: 1\r\n\r\n" + okResponse},
+		{name: "status 600", text: "HTTP/1.1 600 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status 999", text: "HTTP/1.1 999 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status with a sign", text: "HTTP/1.1 +20 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "status with four digits", text: "HTTP/1.1 2000 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "no status", text: "HTTP/1.1 \r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequestID(r)
+				_, _ = io.WriteString(c, tt.text)
+			})
+			var client Client
+			body, err := do(&client, address, newRequest("1"))
+			is.Equal(body, "")
+			var broken *BrokenError
+			is.True(errors.As(err, &broken)) // the request may have run
+		})
+	}
+}
+
+// TestValidHeadIsRead guards against a check that rejects what upstreams may send.
+func TestValidHeadIsRead(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{name: "usual", text: okResponse},
+		{name: "lowest final status", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
+		{name: "highest status", text: "HTTP/1.1 599 Trouble\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
+		{name: "no reason phrase", text: "HTTP/1.1 200\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
+		{name: "no length", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\ninner"},
+		{name: "HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\ninner"},
+		{name: "informational", text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okResponse},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequestID(r)
+				_, _ = io.WriteString(c, tt.text)
+			})
+			var client Client
+			body, err := do(&client, address, newRequest("1"))
+			is.NoErr(err)
+			is.Equal(body, "inner")
+		})
+	}
+}
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -56,14 +56,17 @@
 }
 
 // ReadResponse reads the next response head, and skips informational responses.
-// It returns an error if they have more than MaxHeadBytes together. The caller
-// reads the body before the next call.
+// It returns an error if a head is invalid, or if they have more than MaxHeadBytes
+// together. The caller reads the body before the next call.
 func (r *ResponseReader) ReadResponse(request *http.Request) (*http.Response, error) {
 	r.source.limited = true
 	r.source.left = MaxHeadBytes
 	defer func() { r.source.limited = false }()
 	for {
 		response, err := http.ReadResponse(r.Reader, request)
+		if err == nil {
+			err = CheckHead(response)
+		}
 		switch {
 		case r.source.left <= 0 && err != nil:
 			return nil, errHeadTooLarge
