io/http1: a response that cannot have a body and states one is broken

Seen by callers: an informational response whose stated body is a whole response was skipped, and callers got the inner response as the answer, on routes of each kind.

Cause: net/http reads no body for 1xx and 204, whatever their head states, so that the body's bytes are where the next response is expected.

Evidence: without the check, four cases of TestInvalidHeadIsBrokenError fail (informational, and 204, with a length or with chunks), and those of informational answers in TestInvalidHeadsReachNoCaller on all three kinds of route (200).

Change: CheckHead rejects a length other than 0 and a transfer encoding in 1xx and 204, which must have neither (RFC 9110, section 8.6; RFC 9112, section 6.1). A length of 0 is accepted: it leaves nothing open. 304 may state the length of what it does not send.

Why it works: no bytes that an upstream declared as a body are read as a response.

Measured: both tests pass, and so does TestResponseWithoutBodyIsRead (204, 304).

--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -16,8 +17,17 @@
 // that net/http has parsed, which accepts some that other recipients reject or read in another
 // way.
 func CheckHead(response *http.Response) error {
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
-		return errors.Errorf("the response has the invalid status %03d", response.StatusCode)
+	status := response.StatusCode
+	switch {
+	case status < minStatus || status > maxStatus:
+		return errors.Errorf("the response has the invalid status %03d", status)
+	case (status < http.StatusOK || status == http.StatusNoContent) && statesBody(response):
+		return errors.Errorf("the response states a body, which one with the status %d cannot have", status)
 	}
 	return nil
 }
+
+// statesBody reports whether a head has a length other than 0 or a transfer encoding.
+func statesBody(response *http.Response) bool {
+	return len(response.TransferEncoding) > 0 || strings.Trim(response.Header.Get("Content-Length"), "0") != ""
+}
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -26,6 +26,10 @@
 		{name: "status 999", text: "HTTP/1.1 999 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
 		{name: "status with a sign", text: "HTTP/1.1 +20 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
 		{name: "status with four digits", text: "HTTP/1.1 2000 Trouble\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "informational with a body", text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 64\r\n\r\n" + okResponse},
+		{name: "informational with chunks", text: "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + okResponse},
+		{name: "no content with a body", text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nContent-Length: 64\r\n\r\n" + okResponse},
+		{name: "no content with chunks", text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + okResponse},
 		{name: "no status", text: "HTTP/1.1 \r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
 	}
 	for _, tt := range tests {
@@ -44,6 +48,31 @@
 	}
 }
 
+// TestResponseWithoutBodyIsRead reads responses that end with their head, whatever it says of
+// a body that another response would have.
+func TestResponseWithoutBodyIsRead(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{name: "no content", text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n"},
+		{name: "no content of length 0", text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "not modified", text: "HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nContent-Length: 64\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequestID(r)
+				_, _ = io.WriteString(c, tt.text)
+				readRequestID(r)
+			})
+			var client Client
+			defer client.Close()
+			body, err := do(&client, address, newRequest("1"))
+			is.NoErr(err)
+			is.Equal(body, "")
+		})
+	}
+}
+
 // TestValidHeadIsRead guards against a check that rejects what upstreams may send.
 func TestValidHeadIsRead(t *testing.T) {
 	tests := []struct{ name, text string }{
@@ -53,6 +82,7 @@
 		{name: "no reason phrase", text: "HTTP/1.1 200\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
 		{name: "no length", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\ninner"},
 		{name: "HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\ninner"},
+		{name: "informational without a body", text: "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + okResponse},
 		{name: "informational", text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okResponse},
 	}
 	for _, tt := range tests {
