io/http1: a field whose name is not a token makes the answer a broken one

Seen by callers: an upstream in trouble sent an answer in whose head the name of a field held a blank, within it or before its colon. Callers got it as an answer, with that line passed on. Where the name was that of Transfer-Encoding with a blank after it, the chunks' framing was part of the body that callers got; Content-Length with a blank was ignored in the same way.

Cause: net/http keeps names with blanks as they are, and does not read them as the fields that other recipients take them for.

Evidence: without the check, five cases of TestInvalidHeadIsBrokenError fail, and the three cases with a blank in TestInvalidHeadsReachNoCaller on all three kinds of route. Handled before, kept as cases: control bytes, separators and other bytes in a name or an empty one, lines without a colon, control bytes in a value, two lengths, lengths with a sign, unknown transfer encodings.

Change: CheckHead rejects names that are not tokens (RFC 9110, section 5.1; RFC 9112, section 5.1, asks it of gateways for the blank before the colon).

Why it works: the check covers each name that net/http returns, also in informational responses, and does not depend on which bytes net/http lets pass.

Measured: both tests pass; TestValidHeadIsRead has names of all bytes of a token, blanks around values, continued values and values that are not ASCII.

--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -24,6 +24,11 @@
 	case (status < http.StatusOK || status == http.StatusNoContent) && statesBody(response):
 		return errors.Errorf("the response states a body, which one with the status %d cannot have", status)
 	}
+	for name := range response.Header {
+		if !isToken(name) {
+			return errors.Errorf("the response has a field with the invalid name %q", name)
+		}
+	}
 	return nil
 }
 
@@ -31,3 +36,16 @@
 func statesBody(response *http.Response) bool {
 	return len(response.TransferEncoding) > 0 || strings.Trim(response.Header.Get("Content-Length"), "0") != ""
 }
+
+// isToken reports whether text is a token (RFC 9110, section 5.6.2), as the name of a field
+// must be.
+func isToken(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		isAlphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
