io/http1: chunks in HTTP/1.0, and versions of other protocols, make the answer a broken one

Seen by callers: nothing reported.

Cause: net/http removes the field and ignores it for HTTP/1.0, and accepts each version of one digit before and after the point.

Evidence: without the checks, six cases of TestInvalidHeadIsBrokenError fail: chunks in HTTP/1.0 (with and without a length, after a head of several buffers, after an informational response), HTTP/0.9 and HTTP/2.0.

Change: for a response that begins with HTTP/1.0, ResponseReader keeps a copy of the head's bytes and rejects a field Transfer-Encoding in it (RFC 9112, section 6.1: faulty framing). CheckHead rejects other versions than 1.x.

Why it works: the field is looked for where net/http cannot have removed it. Responses in HTTP/1.1 cost one look at eight buffered bytes more.

Measured: the test passes; TestValidHeadIsRead has HTTP/1.0 with a length, without one, and with the field's name in a value and in what follows the head.

--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 
@@ -19,6 +20,8 @@
 func CheckHead(response *http.Response) error {
 	status := response.StatusCode
 	switch {
+	case response.ProtoMajor != 1:
+		return errors.Errorf("the response has the version %s of another protocol", response.Proto)
 	case status < minStatus || status > maxStatus:
 		return errors.Errorf("the response has the invalid status %03d", status)
 	case (status < http.StatusOK || status == http.StatusNoContent) && statesBody(response):
@@ -37,6 +40,25 @@
 	return len(response.TransferEncoding) > 0 || strings.Trim(response.Header.Get("Content-Length"), "0") != ""
 }
 
+// http10 is how a response of that version begins. It must have no transfer encoding (RFC 9112,
+// section 6.1), but net/http removes the field, so that the encoding would be part of the body.
+const http10 = "HTTP/1.0"
+
+// hasTransferEncoding reports whether the head at the start of text has a field
+// Transfer-Encoding.
+func hasTransferEncoding(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return true
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
+		}
+	}
+	return false
+}
+
 // isToken reports whether text is a token (RFC 9110, section 5.6.2), as the name of a field
 // must be.
 func isToken(text string) bool {
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -50,6 +51,12 @@
 		{name: "two lengths", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy"},
 		{name: "length with a sign", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: +1\r\n\r\nx"},
 		{name: "unknown transfer encoding", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+		{name: "chunks in HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\ntransfer-encoding:chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+		{name: "chunks and a length in HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 11\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+		{name: "chunks in HTTP/1.0 after many fields", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-Fill: " + strings.Repeat("a", 3*readBufferBytes) + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+		{name: "chunks in HTTP/1.0 after an informational response", text: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+		{name: "HTTP/0.9", text: "HTTP/0.9 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
+		{name: "HTTP/2.0", text: "HTTP/2.0 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
 		{name: "no status", text: "HTTP/1.1 \r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx"},
 	}
 	for _, tt := range tests {
@@ -101,6 +108,8 @@
 		{name: "highest status", text: "HTTP/1.1 599 Trouble\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
 		{name: "no reason phrase", text: "HTTP/1.1 200\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
 		{name: "no length", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\ninner"},
+		{name: "HTTP/1.0 with a length", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\ninner"},
+		{name: "field name in the body of HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-Field: Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\ninner\r\nTransfer-Encoding: chunked\r\n"},
 		{name: "HTTP/1.0", text: "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\ninner"},
 		{name: "all bytes of a token in a name", text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n!#$%&'*+-.^_`|~09azAZ: a\r\nContent-Length: 5\r\n\r\ninner"},
 		{name: "blanks around a value", text: "HTTP/1.1 200 OK\r\nX-Id: \t 1 \t\r\nX-Field:\r\nContent-Length:5 \r\n\r\ninner"},
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 
@@ -33,6 +34,7 @@
 	r       io.Reader
 	limited bool
 	left    int
+	copied  *bytes.Buffer // gets what is read while limited is true; may be nil
 }
 
 // NewResponseReader returns a reader of responses from r with a buffer of the given
@@ -52,6 +54,9 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if l.copied != nil {
+		l.copied.Write(p[:n])
+	}
 	return n, err
 }
 
@@ -63,10 +68,7 @@
 	r.source.left = MaxHeadBytes
 	defer func() { r.source.limited = false }()
 	for {
-		response, err := http.ReadResponse(r.Reader, request)
-		if err == nil {
-			err = CheckHead(response)
-		}
+		response, err := r.readHead(request)
 		switch {
 		case r.source.left <= 0 && err != nil:
 			return nil, errHeadTooLarge
@@ -80,6 +82,35 @@
 	}
 }
 
+// readHead reads a response head, which may be informational.
+func (r *ResponseReader) readHead(request *http.Request) (*http.Response, error) {
+	start, err := r.Peek(len(http10))
+	if err != nil {
+		return nil, unexpectedEOF(err)
+	}
+	if string(start) == http10 {
+		buffered, _ := r.Peek(r.Buffered()) // does not read
+		r.source.copied = bytes.NewBuffer(bytes.Clone(buffered))
+		defer func() { r.source.copied = nil }()
+	}
+	response, err := http.ReadResponse(r.Reader, request)
+	switch {
+	case err != nil:
+		return nil, err
+	case r.source.copied != nil && hasTransferEncoding(r.source.copied.Bytes()):
+		return nil, errors.New("the response has a transfer encoding, which HTTP/1.0 does not have")
+	}
+	return response, CheckHead(response)
+}
+
+// unexpectedEOF returns err, or io.ErrUnexpectedEOF for io.EOF.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // endsWithConn reports whether only the end of the connection ends the body of a response.
 func endsWithConn(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
