--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"banyanyard/io/http1"
 )
 
 // maxResponseBytes is the size to which response bodies are truncated.
@@ -185,11 +187,14 @@
 	return &UnavailableError{Op: ca.op, MayHaveTakenEffect: ca.write, Cause: fmt.Errorf("status %d", status)}
 }
 
+// client returns the HTTP client to use. It accepts no response whose head is invalid.
 func (c *Client) client() *http.Client {
+	checked := http.Client{}
 	if c.HTTPClient != nil {
-		return c.HTTPClient
+		checked = *c.HTTPClient
 	}
-	return http.DefaultClient
+	checked.Transport = &http1.CheckedTransport{Base: checked.Transport}
+	return &checked
 }
 
 func rowPath(table, key string) string {
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -1,9 +1,13 @@
 package platform_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +97,63 @@
 		is.Equal(string(data), "text")
 	})
 }
+
+// serveText answers each request with the same text and closes its connection. It returns a
+// client of that address.
+func serveText(t *testing.T, text string) *platform.Client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &platform.Client{BaseURL: "http://" + l.Addr().String(), HTTPClient: &http.Client{Transport: transport}}
+}
+
+// TestInvalidHeadIsNoAnswer guards against writes that count as made, and rows that count as
+// read, although the platform's answer was not a valid one.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nETag: 5\r\nContent-Length: 1\r\n\r\n7"
+	tests := []struct {
+		name, text string
+		valid      bool
+	}{
+		{name: "usual", text: answer, valid: true},
+		{name: "informational", text: "HTTP/1.1 103 Early Hints\r\n\r\n" + answer, valid: true},
+		{name: "status 000", text: strings.Replace(answer, "200 OK", "000 Trouble", 1)},
+		{name: "status 099", text: strings.Replace(answer, "200 OK", "099 Trouble", 1)},
+		{name: "status 600", text: strings.Replace(answer, "200 OK", "600 Trouble", 1)},
+		{name: "informational with an answer as its body", text: "HTTP/1.1 103 Early Hints\r\nContent-Length: 64\r\n\r\n" + answer},
+		{name: "blank before the colon", text: strings.Replace(answer, "ETag:", "ETag :", 1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := serveText(t, tt.text)
+			row, err := c.Get(t.Context(), "t", "k")
+			is.Equal(err == nil, tt.valid)
+			is.Equal(row.Version == "5", tt.valid)
+			version, err := c.Insert(t.Context(), "t", "k", 7)
+			is.Equal(err == nil, tt.valid)
+			is.Equal(version == "5", tt.valid)
+			var unavailable *platform.UnavailableError
+			is.Equal(errors.As(err, &unavailable) && unavailable.MayHaveTakenEffect, !tt.valid)
+		})
+	}
+}
