node: answers of other instances are handed back only if they are valid and framed

Seen by callers: nothing reported. While an instance has no shares it hands requests over to another. What came back from that address was passed on with any status (600), with names that hold a blank and the wrong framing that follows from it, with the body of an informational response as the answer, and as whole if it had no length, whatever ended the connection: net/http's Transport also writes an upload and reads its response concurrently.

Change: handed-over requests use http1.CheckedTransport, and a response that only the end of its connection ends is refused with 502: instances answer with a length or chunks always.

Why it works: the framing shows by itself whether such an answer is whole, so that no end of a connection has to be judged.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -153,7 +153,7 @@
 		return nil, &BrokenError{Address: address, Reused: cn.reused, Cause: err}
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-		EndsWithConn: endsWithConn(response),
+		EndsWithConn: EndsWithConn(response),
 		body:         response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
 }
 
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -111,8 +111,9 @@
 	return err
 }
 
-// endsWithConn reports whether only the end of the connection ends the body of a response.
-func endsWithConn(response *http.Response) bool {
+// EndsWithConn reports whether the body of a response has neither a length nor chunks, so that
+// only the end of the connection ends it.
+func EndsWithConn(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
--- a/node/handover.go
+++ b/node/handover.go
@@ -9,6 +9,7 @@
 
 	"banyanyard/core/refusal"
 	"banyanyard/io/caller"
+	"banyanyard/io/http1"
 	"banyanyard/io/tcp"
 )
 
@@ -25,15 +26,17 @@
 type handOverHandler struct {
 	node      *Node
 	local     http.Handler
-	transport *http.Transport
+	scheme    string // of the instances' addresses
+	transport http.RoundTripper
 }
 
 func newHandOverHandler(n *Node, dial tcp.DialFunc, c *tls.Config) *handOverHandler {
-	return &handOverHandler{
-		node:      n,
-		local:     n.handler,
-		transport: &http.Transport{DialContext: tcp.DialOrDefault(dial), TLSClientConfig: c, DisableCompression: true},
+	h := &handOverHandler{node: n, local: n.handler, scheme: "http"}
+	if c != nil {
+		h.scheme = "https"
 	}
+	h.transport = &http1.CheckedTransport{Base: &http.Transport{DialContext: tcp.DialOrDefault(dial), TLSClientConfig: c, DisableCompression: true}}
+	return h
 }
 
 // ServeHTTP implements http.Handler.
@@ -54,15 +57,12 @@
 // returns false if it could not connect, so that nothing of the request was sent.
 func (h *handOverHandler) forward(w http.ResponseWriter, r *http.Request, address string) bool {
 	request := r.Clone(r.Context())
-	request.URL.Scheme = "http"
-	if h.transport.TLSClientConfig != nil {
-		request.URL.Scheme = "https"
-	}
+	request.URL.Scheme = h.scheme
 	request.URL.Host = address
 	request.RequestURI = ""
 	request.Header.Set(headerHandedOver, h.node.identity.ID)
 	h.hideIdempotencyKey(request)
-	response, err := h.transport.RoundTrip(request)
+	response, err := h.roundTrip(request)
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return false
@@ -76,6 +76,20 @@
 	return true
 }
 
+// errNoLength reports a response that no instance sends, and whose end cannot be told from that
+// of a broken connection.
+var errNoLength = errors.New("the response has neither a length nor chunks")
+
+// roundTrip sends a request to an instance and returns its response.
+func (h *handOverHandler) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := h.transport.RoundTrip(request)
+	if err == nil && http1.EndsWithConn(response) {
+		_ = response.Body.Close()
+		return nil, errNoLength
+	}
+	return response, err
+}
+
 // hideIdempotencyKey spells the header in lower case, which http.Transport
 // doesn't recognise: it retries requests with an Idempotency-Key by itself.
 func (h *handOverHandler) hideIdempotencyKey(r *http.Request) {
