io/engine: a rejection that breaks off is a broken response

Seen by callers: nothing reported. An engine that answered 400 or 422 and broke off within the body had its request rejected for good, with the part of the reason that had arrived.

Cause: Client.statusError ignored the error of reading the body.

Change: such a response is a BrokenError, so that the completion may run elsewhere. A refusal (429, 503) is still taken by its status; its body is not used.

Why it works: a rejection is delivered only when all of it has arrived.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -70,7 +70,8 @@
 }
 
 // statusError returns a RefusedError for 429 and 503, a RejectedError for other
-// 4xx statuses, and otherwise a BrokenError, since the request may have run.
+// 4xx statuses, and otherwise a BrokenError, since the request may have run. A
+// response that breaks off is no rejection.
 func (c *Client) statusError(ctx context.Context, cn *conn, a Attempt, response *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
 	c.putIdle(ctx, a.Upstream, cn, err == nil && !response.Close)
@@ -78,6 +79,9 @@
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return &RefusedError{Upstream: a.Upstream, Status: status, Body: body}
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		if err != nil {
+			return &BrokenError{Upstream: a.Upstream, Cause: err}
+		}
 		return &RejectedError{Upstream: a.Upstream, Status: status, Body: body}
 	default:
 		return &BrokenError{Upstream: a.Upstream, Cause: errors.New(response.Status), Status: status}
--- a/io/engine/endless_test.go
+++ b/io/engine/endless_test.go
@@ -28,6 +28,18 @@
 // startEngine listens on a local port, calls f for each connection after its
 // first request has been read, and returns the address.
 func startEngine(t *testing.T, f func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	return startEngineConn(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		if readAttempt(r) != "" {
+			f(c, r)
+		}
+	})
+}
+
+// startEngineConn listens on a local port, calls f for each connection before anything has been
+// read from it, and returns the address.
+func startEngineConn(t *testing.T, f func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,10 +54,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				if readAttempt(r) != "" {
-					f(c, r)
-				}
+				f(c.(*net.TCPConn))
 			}()
 		}
 	}()
@@ -257,3 +266,47 @@
 		})
 	}
 }
+
+// TestRejectionThatBreaksOff guards against a request that is rejected for good with part of an
+// engine's reason. A refusal is taken by its status: its body is not used.
+func TestRejectionThatBreaksOff(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       any // pointer to the type of the error
+	}{
+		{name: "whole rejection", text: "HTTP/1.1 400 Bad Request\r\nContent-Length: 6\r\n\r\nreason", want: new(*RejectedError)},
+		{name: "rejection shorter than its length", text: "HTTP/1.1 400 Bad Request\r\nContent-Length: 60\r\n\r\nreason", want: new(*BrokenError)},
+		{name: "rejection without its last chunk", text: "HTTP/1.1 422 Unprocessable\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nreason\r\n", want: new(*BrokenError)},
+		{name: "refusal shorter than its length", text: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 60\r\n\r\nreason", want: new(*RefusedError)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := startEngine(t, func(c net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(c, tt.text) })
+			var client Client
+			defer client.Close()
+			_, err := client.Start(t.Context(), newAttempt("1", address, false))
+			is.True(errors.As(err, tt.want))
+		})
+	}
+}
+
+// TestUploadWhoseResponseBreaksOff has an engine answer before it has read a long request, and
+// reset the connection.
+func TestUploadWhoseResponseBreaksOff(t *testing.T) {
+	is := is.New(t)
+	address := startEngineConn(t, func(c *net.TCPConn) {
+		_ = c.SetReadBuffer(16 << 10)
+		_, _ = io.WriteString(c, plainHead+"\r\n{\"id\":\""+IDPrefix+"1\"}")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	var client Client
+	defer client.Close()
+	a := newAttempt("1", address, false)
+	a.Body = make([]byte, 32<<20)
+	err := readResponse(t.Context(), &client, a)
+	var broken *BrokenError
+	is.True(errors.As(err, &broken))
+}
