core/reach: tell whether the upstreams or this instance's paths to them fail

Change: a state machine that asks others to which of the failing addresses they have connected since, concludes, checks direct paths meanwhile, and chooses through whom to connect. It is not used yet. Measured: its tests, among them random schedules (rapid): no path is detoured unless another instance connected after the first failure.

--- /dev/null
+++ b/core/reach/reach.go
@@ -0,0 +1,460 @@
+// Package reach tells whether connections to upstreams fail because of the upstreams or
+// because of this instance's network paths to them, and chooses the instances through
+// which connections are opened in the latter case.
+//
+// A connection that cannot be opened says nothing about which of the two is at fault.
+// Another instance that has opened one to the same address since then shows that it is the
+// path: new connections take a detour through an instance, until a direct one opens. Where
+// this instance has opened none at all since its first failure, and another one has, all
+// paths count as lost.
+//
+// A Table is not safe for concurrent use. Its methods take the current time, never block
+// and do no I/O.
+//
+// Invariants:
+//   - a path is detoured only if another instance has connected after this one failed to;
+//   - a direct connection that opens ends the detour of its path, and the loss of all paths.
+package reach
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// minSuspects is the number of failures, at different addresses or in a row at one,
+	// from which on other instances are asked.
+	minSuspects = 2
+	// failureRetention is how long a failure counts if no other follows.
+	failureRetention = 5 * time.Second
+	// minAskInterval and maxAskInterval bound the time between two questions, which doubles
+	// while the answers change nothing.
+	minAskInterval = 150 * time.Millisecond
+	maxAskInterval = 2 * time.Second
+	// detourAskInterval is the time between two questions while connections are detoured:
+	// the answers say which instances can open them.
+	detourAskInterval = time.Second
+	// checkInterval is the time between two checks of direct paths.
+	checkInterval = 500 * time.Millisecond
+	// maxChecks bounds the paths that are checked at once. While all paths are lost it is
+	// one: the first that opens tells of the others.
+	maxChecks = 8
+	// maxAsked bounds the addresses in a question.
+	maxAsked = 64
+	// answerRetention is how long an instance counts as able to open connections after it
+	// has said so.
+	answerRetention = 3 * time.Second
+	// avoidTime is how long an instance is left out after it could not be used.
+	avoidTime = 2 * time.Second
+	// pathRetention is how long an unused path is remembered.
+	pathRetention = 2 * time.Minute
+)
+
+// A Failure is the way in which a connection could not be opened.
+type Failure uint8
+
+// The failures.
+const (
+	// Silent means that nothing answered in time. Open connections are probably dead, too.
+	Silent Failure = iota
+	// Refused means that the connection was refused or reset. Open ones may live on.
+	Refused
+)
+
+// A path is what is known of connections from this instance to one address.
+type path struct {
+	opened   time.Time // when the last direct connection was opened; zero for never
+	failed   time.Time // first failure since then; zero for none
+	last     time.Time // last failure since then
+	failures int       // since then
+	silent   bool      // the last failure was Silent
+	detoured bool      // another instance has connected since failed
+}
+
+// suspect reports whether the path fails and it is not known why.
+func (p *path) suspect(now time.Time) bool {
+	return p.failures > 0 && !p.detoured && now.Sub(p.last) < failureRetention
+}
+
+// A Peer is another instance through which connections can be opened.
+type Peer struct {
+	ID            string // of its start
+	Instance      string
+	Address       string // IP:port for calls
+	Tunnel        string // IP:port for tunnels
+	FailureDomain string
+}
+
+// A Question asks other instances to which addresses they have connected.
+type Question struct {
+	Addresses []string  `json:"addresses"`
+	At        time.Time `json:"-"` // when it was asked; ages in the answer are from some time after it
+}
+
+// An Answer is what an instance has seen itself. Ages are negative for never.
+type Answer struct {
+	Opened    []time.Duration `json:"opened"`     // age of the last connection, for each address of the question
+	AnyOpened time.Duration   `json:"any-opened"` // age of the last connection to any upstream
+	Lost      bool            `json:"lost"`       // it has lost its own paths
+	Tunnels   int             `json:"tunnels"`    // that it serves
+}
+
+// helper is what a peer has answered.
+type helper struct {
+	Peer
+	answered time.Time
+	fit      bool
+	tunnels  int             // that it served then
+	started  int             // tunnels opened through it since
+	reaches  map[string]bool // of the addresses asked for
+	avoid    time.Time
+}
+
+// A Table is one instance's view of its paths. The zero Table is ready to use.
+type Table struct {
+	Domain string // failure domain of this instance
+
+	paths       map[string]*path // by address
+	helpers     map[string]*helper
+	peers       []Peer
+	opened      time.Time // when any direct connection was last opened
+	failed      time.Time // first failure since then; zero for none
+	lastFailed  time.Time // last failure
+	lost        bool      // all paths are lost
+	lostSilent  bool      // the failures that showed it were Silent
+	asked       time.Time // when Ask last returned a question
+	nextAsk     time.Time
+	askInterval time.Duration
+	nextCheck   time.Time
+	checked     string // address that was checked last
+}
+
+func (t *Table) path(address string) *path {
+	if t.paths == nil {
+		t.paths = map[string]*path{}
+	}
+	p := t.paths[address]
+	if p == nil {
+		p = &path{}
+		t.paths[address] = p
+	}
+	return p
+}
+
+// SetPeers replaces the other instances that live and take connections.
+func (t *Table) SetPeers(peers []Peer) {
+	t.peers = slices.Clone(peers)
+	known := map[string]bool{}
+	for _, p := range peers {
+		known[p.ID] = true
+	}
+	for id := range t.helpers {
+		if !known[id] {
+			delete(t.helpers, id)
+		}
+	}
+}
+
+// Knows reports whether an instance is one of the peers, by the ID of its start.
+func (t *Table) Knows(id string) bool {
+	return slices.ContainsFunc(t.peers, func(p Peer) bool { return p.ID == id })
+}
+
+// RecordOpened records that a direct connection was opened. It reports whether a detour
+// ends by that.
+func (t *Table) RecordOpened(now time.Time, address string) bool {
+	p := t.path(address)
+	ended := p.detoured || t.lost
+	*p = path{opened: now}
+	t.opened, t.failed = now, time.Time{}
+	t.lost = false
+	return ended
+}
+
+// RecordFailed records that a direct connection could not be opened.
+func (t *Table) RecordFailed(now time.Time, address string, f Failure) {
+	p := t.path(address)
+	if p.failures == 0 || !p.detoured && now.Sub(p.last) >= failureRetention {
+		p.failed, p.failures = now, 0
+		t.askSoon(now)
+	}
+	p.last = now
+	p.failures++
+	p.silent = f == Silent
+	if t.failed.IsZero() || now.Sub(t.lastFailed) >= failureRetention {
+		t.failed = now
+	}
+	t.lastFailed = now
+}
+
+// askSoon makes a question due as soon as the minimum time since the last one has passed.
+func (t *Table) askSoon(now time.Time) {
+	t.askInterval = 0
+	if soon := t.asked.Add(minAskInterval); soon.Before(t.nextAsk) {
+		t.nextAsk = soon
+	}
+}
+
+// suspects returns the addresses whose paths fail for an unknown reason, sorted.
+func (t *Table) suspects(now time.Time) []string {
+	var addresses []string
+	for address, p := range t.paths {
+		if p.suspect(now) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Detours reports whether any path is detoured.
+func (t *Table) Detours() bool {
+	if t.lost {
+		return true
+	}
+	for _, p := range t.paths {
+		if p.detoured {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost reports whether all paths are lost.
+func (t *Table) Lost() bool { return t.lost }
+
+// Detoured reports whether new connections to an address take a detour, and whether open
+// ones are probably dead.
+func (t *Table) Detoured(address string) (detoured, silent bool) {
+	if p := t.paths[address]; p != nil && p.detoured {
+		return true, p.silent
+	}
+	return t.lost, t.lostSilent
+}
+
+// asks reports whether there is a question, and an instance to ask.
+func (t *Table) asks(now time.Time) bool {
+	failures := 0
+	for _, address := range t.suspects(now) {
+		failures += t.paths[address].failures
+	}
+	return len(t.peers) > 0 && (failures >= minSuspects || t.Detours())
+}
+
+// Ask returns the question that is due, and up to n instances to ask. It returns nil if
+// none is due.
+func (t *Table) Ask(now time.Time, random *rand.Rand, n int) (*Question, []Peer) {
+	if !t.asks(now) || now.Before(t.nextAsk) {
+		return nil, nil
+	}
+	suspects := t.suspects(now)
+	if t.Detours() && len(suspects) == 0 {
+		t.askInterval = detourAskInterval
+	} else {
+		t.askInterval = min(max(2*t.askInterval, minAskInterval), maxAskInterval)
+	}
+	t.asked, t.nextAsk = now, now.Add(t.askInterval)
+	for address, p := range t.paths {
+		if p.detoured {
+			suspects = append(suspects, address)
+		}
+	}
+	return &Question{Addresses: suspects[:min(len(suspects), maxAsked)], At: now}, t.choosePeers(random, n)
+}
+
+// choosePeers returns up to n random peers, half of them of this failure domain if there
+// are as many.
+func (t *Table) choosePeers(random *rand.Rand, n int) []Peer {
+	var near, far []Peer
+	for _, p := range t.peers {
+		if p.FailureDomain == t.Domain {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	nearCount := min(len(near), max(n/2, n-len(far)))
+	chosen := append(near[:nearCount:nearCount], far...)
+	return chosen[:min(len(chosen), n)]
+}
+
+// RecordAnswer records the answer of an instance. It returns the addresses whose paths are
+// detoured from now on, and whether all paths count as lost from now on.
+func (t *Table) RecordAnswer(now time.Time, from Peer, q *Question, a Answer) (detoured []string, lost bool) {
+	h := t.helper(from)
+	h.answered = now
+	h.fit = !a.Lost && a.AnyOpened >= 0
+	h.tunnels, h.started = a.Tunnels, 0
+	h.reaches = map[string]bool{}
+	for i, address := range q.Addresses {
+		if i >= len(a.Opened) || a.Opened[i] < 0 {
+			continue
+		}
+		p := t.paths[address]
+		if p == nil || p.failures == 0 || !q.At.Add(-a.Opened[i]).After(p.failed) {
+			continue
+		}
+		h.reaches[address] = true
+		if !p.detoured {
+			p.detoured = true
+			detoured = append(detoured, address)
+		}
+	}
+	failing, silent := 0, 0
+	for _, p := range t.paths {
+		if p.failures > 0 && !p.failed.Before(t.failed) && now.Sub(p.last) < failureRetention {
+			failing++
+			if p.silent {
+				silent++
+			}
+		}
+	}
+	if !t.lost && h.fit && failing >= minSuspects && !t.failed.IsZero() && q.At.Add(-a.AnyOpened).After(t.failed) {
+		t.lost, lost = true, true
+		t.lostSilent = 2*silent > failing
+	}
+	if lost || len(detoured) > 0 {
+		t.nextCheck = now
+	}
+	return detoured, lost
+}
+
+func (t *Table) helper(p Peer) *helper {
+	if t.helpers == nil {
+		t.helpers = map[string]*helper{}
+	}
+	h := t.helpers[p.ID]
+	if h == nil {
+		h = &helper{}
+		t.helpers[p.ID] = h
+	}
+	h.Peer = p
+	return h
+}
+
+// Checks returns those of the addresses in use whose direct paths are to be checked now, by
+// opening a connection.
+func (t *Table) Checks(now time.Time, addresses []string) []string {
+	if now.Before(t.nextCheck) || !t.Detours() {
+		return nil
+	}
+	t.nextCheck = now.Add(checkInterval)
+	limit := maxChecks
+	if t.lost {
+		limit = 1
+	}
+	due := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool {
+		detoured, _ := t.Detoured(a)
+		return !detoured
+	})
+	if len(due) == 0 {
+		return nil
+	}
+	slices.Sort(due)
+	after, _ := slices.BinarySearch(due, t.checked+"\x00") // the first one behind the last checked
+	due = append(due[after:], due[:after]...)
+	due = due[:min(len(due), limit)]
+	t.checked = due[len(due)-1]
+	return due
+}
+
+// nearSlack is the number of tunnels by which an instance of this failure domain may
+// exceed one of another.
+const nearSlack = 8
+
+// Choose returns the instance through which to open a connection to an address, and false if
+// none is known to be able to. Of two that are chosen at random, the one with fewer tunnels
+// gets it, and those of this failure domain go first unless they have many more.
+func (t *Table) Choose(now time.Time, random *rand.Rand, address string) (Peer, bool) {
+	p := t.paths[address]
+	confirmed := p != nil && p.detoured && !t.lost
+	var near, far []*helper
+	for _, h := range t.helpers {
+		switch {
+		case !h.fit, now.Sub(h.answered) >= answerRetention, now.Before(h.avoid), confirmed && !h.reaches[address]:
+		case h.FailureDomain == t.Domain:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	best := lessLoadedOfTwo(random, near)
+	if other := lessLoadedOfTwo(random, far); best == nil || other != nil && other.load()+nearSlack < best.load() {
+		best = other
+	}
+	if best == nil {
+		return Peer{}, false
+	}
+	best.started++
+	return best.Peer, true
+}
+
+// load returns the estimated number of tunnels that the helper serves.
+func (h *helper) load() int { return h.tunnels + h.started }
+
+// lessLoadedOfTwo returns the less loaded of two random helpers, or nil if there are none.
+func lessLoadedOfTwo(random *rand.Rand, helpers []*helper) *helper {
+	if len(helpers) == 0 {
+		return nil
+	}
+	// The order in a map is not reproducible.
+	slices.SortFunc(helpers, func(a, b *helper) int { return cmp.Compare(a.ID, b.ID) })
+	best := helpers[random.IntN(len(helpers))]
+	if other := helpers[random.IntN(len(helpers))]; other.load() < best.load() {
+		best = other
+	}
+	return best
+}
+
+// Avoid records that a connection could not be opened through an instance for a reason that
+// says nothing about the upstream.
+func (t *Table) Avoid(now time.Time, id string) {
+	if h := t.helpers[id]; h != nil {
+		h.avoid = now.Add(avoidTime)
+	}
+}
+
+// Answer returns what this instance has seen.
+func (t *Table) Answer(now time.Time, q *Question) Answer {
+	a := Answer{AnyOpened: age(now, t.opened), Lost: t.lost}
+	for _, address := range q.Addresses[:min(len(q.Addresses), maxAsked)] {
+		opened := time.Time{}
+		if p := t.paths[address]; p != nil {
+			opened = p.opened
+		}
+		a.Opened = append(a.Opened, age(now, opened))
+	}
+	return a
+}
+
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
+
+// Next returns when Ask or Checks are due next, unless something is recorded before; false
+// if they are not.
+func (t *Table) Next(now time.Time) (next time.Time, ok bool) {
+	if t.Detours() {
+		next, ok = t.nextCheck, true
+	}
+	if t.asks(now) && (!ok || t.nextAsk.Before(next)) {
+		next, ok = t.nextAsk, true
+	}
+	return next, ok
+}
+
+// Expire forgets paths that have not been used for long.
+func (t *Table) Expire(now time.Time) {
+	for address, p := range t.paths {
+		if now.Sub(p.opened) > pathRetention && now.Sub(p.last) > pathRetention {
+			delete(t.paths, address)
+		}
+	}
+}
--- /dev/null
+++ b/core/reach/reach_test.go
@@ -0,0 +1,283 @@
+package reach
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+var peers = []Peer{
+	{ID: "b-1", Instance: "b", FailureDomain: "near"},
+	{ID: "c-1", Instance: "c", FailureDomain: "far"},
+	{ID: "d-1", Instance: "d", FailureDomain: "far"},
+}
+
+func newTable() *Table {
+	t := &Table{Domain: "near"}
+	t.SetPeers(peers)
+	return t
+}
+
+const ms = time.Millisecond
+
+// TestPathIsDetouredOnlyIfAnotherInstanceHasConnectedSince guards against an upstream that is
+// down being taken for a lost path, and the reverse.
+func TestPathIsDetouredOnlyIfAnotherInstanceHasConnectedSince(t *testing.T) {
+	tests := []struct {
+		name     string
+		before   func(*Table) // the first failures are at 1 s, the answer at 1.5 s
+		answer   Answer
+		detoured []string
+		lost     bool
+	}{
+		{name: "connected since", answer: Answer{Opened: []time.Duration{100 * ms, 100 * ms}, AnyOpened: 100 * ms}, detoured: []string{"u1", "u2"}, lost: true},
+		{name: "connected before", answer: Answer{Opened: []time.Duration{600 * ms, 600 * ms}, AnyOpened: 600 * ms}},
+		{name: "never connected", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: -1}},
+		{name: "connected to one of them", answer: Answer{Opened: []time.Duration{-1, 50 * ms}, AnyOpened: 50 * ms}, detoured: []string{"u2"}, lost: true},
+		{name: "connected to others only", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms}, lost: true},
+		{
+			name:   "connected to others only, and so has this instance",
+			before: func(table *Table) { table.RecordOpened(at(1200*ms), "u3") },
+			answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms},
+		},
+		{name: "has lost its own paths", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms, Lost: true}},
+		{name: "too few ages", answer: Answer{AnyOpened: -1}},
+		{
+			name:     "opened here since",
+			before:   func(table *Table) { table.RecordOpened(at(1400*ms), "u1") },
+			answer:   Answer{Opened: []time.Duration{100 * ms, 100 * ms}, AnyOpened: 100 * ms},
+			detoured: []string{"u2"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable()
+			table.RecordOpened(at(500*ms), "u1")
+			table.RecordFailed(at(time.Second), "u1", Silent)
+			table.RecordFailed(at(1100*ms), "u2", Silent)
+			q, asked := table.Ask(at(1100*ms), newRandom(), 2)
+			is.Equal(q.Addresses, []string{"u1", "u2"})
+			is.Equal(len(asked), 2)
+			if tt.before != nil {
+				tt.before(table)
+			}
+			q.At = at(1500 * ms)
+			detoured, lost := table.RecordAnswer(at(1510*ms), asked[0], q, tt.answer)
+			is.Equal(detoured, tt.detoured)
+			is.Equal(lost, tt.lost)
+			toOther, _ := table.Detoured("u9")
+			is.Equal(toOther, tt.lost) // an address without a failure
+		})
+	}
+}
+
+func TestQuestions(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.RecordFailed(at(0), "u1", Refused)
+	q, _ := table.Ask(at(0), newRandom(), 3)
+	is.Equal(q, nil) // one failure may be anything
+	table.RecordFailed(at(300*ms), "u1", Refused)
+	var times []time.Duration
+	for now := 300 * ms; now < 6*time.Second; now += 10 * ms {
+		if now%(300*ms) == 0 {
+			table.RecordFailed(at(now), "u1", Refused)
+		}
+		if q, _ := table.Ask(at(now), newRandom(), 3); q != nil {
+			times = append(times, now)
+		}
+	}
+	is.Equal(times, []time.Duration{300 * ms, 450 * ms, 750 * ms, 1350 * ms, 2550 * ms, 4550 * ms}) // doubling
+	table.RecordFailed(at(6*time.Second), "u2", Refused)
+	q, asked := table.Ask(at(6*time.Second), newRandom(), 3)
+	is.Equal(q.Addresses, []string{"u1", "u2"}) // another one fails: asked at once
+	is.Equal(len(asked), 3)
+	q, _ = table.Ask(at(20*time.Second), newRandom(), 3)
+	is.Equal(q, nil) // the failures are old
+}
+
+// lostTable returns a table that has lost all paths at 2 s.
+func lostTable(is *is.I) *Table {
+	table := newTable()
+	table.RecordFailed(at(1800*ms), "u1", Silent)
+	table.RecordFailed(at(1900*ms), "u2", Silent)
+	q, _ := table.Ask(at(1900*ms), newRandom(), 3)
+	q.At = at(2 * time.Second)
+	for _, p := range peers {
+		table.RecordAnswer(at(2*time.Second), p, q, Answer{Opened: []time.Duration{10 * ms, -1}, AnyOpened: 10 * ms})
+	}
+	is.True(table.Lost())
+	return table
+}
+
+func TestDirectConnectionEndsDetours(t *testing.T) {
+	is := is.New(t)
+	table := lostTable(is)
+	known := []string{"u1", "u2", "u3"}
+	is.Equal(table.Checks(at(2*time.Second), known), []string{"u1"})
+	is.Equal(table.Checks(at(2100*ms), known), nil) // too early
+	is.Equal(table.Checks(at(2500*ms), known), []string{"u2"})
+	is.Equal(table.Checks(at(3*time.Second), known), []string{"u3"})
+	is.True(table.RecordOpened(at(3*time.Second), "u3"))
+	detoured, _ := table.Detoured("u2")
+	is.True(!detoured)
+	detoured, silent := table.Detoured("u1")
+	is.True(detoured && silent) // another instance has connected to it; it is checked itself
+	is.Equal(table.Checks(at(3500*ms), known), []string{"u1"})
+	is.True(table.RecordOpened(at(3500*ms), "u1"))
+	is.True(!table.Detours())
+	is.True(!table.RecordOpened(at(3600*ms), "u1"))
+}
+
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*Table)
+		want   []string // instances that are chosen, sorted
+	}{
+		{name: "of this failure domain", want: []string{"b"}},
+		{name: "avoided", before: func(table *Table) { table.Avoid(at(2*time.Second), "b-1") }, want: []string{"c", "d"}},
+		{name: "gone", before: func(table *Table) { table.SetPeers(peers[1:2]) }, want: []string{"c"}},
+		{name: "has lost its paths", before: func(table *Table) {
+			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyOpened: ms, Lost: true})
+		}, want: []string{"c", "d"}},
+		{name: "has many tunnels", before: func(table *Table) {
+			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyOpened: ms, Tunnels: 100})
+		}, want: []string{"c", "d"}},
+		{name: "none is left", before: func(table *Table) { table.SetPeers(nil) }},
+		{name: "only some reach the upstream", before: func(table *Table) {
+			q := &Question{Addresses: []string{"u1"}}
+			table.RecordAnswer(at(2*time.Second), peers[0], q, Answer{Opened: []time.Duration{-1}, AnyOpened: ms})
+			table.RecordAnswer(at(2*time.Second), peers[1], q, Answer{Opened: []time.Duration{-1}, AnyOpened: ms})
+			table.RecordOpened(at(2*time.Second), "u3") // not all paths are lost
+		}, want: []string{"d"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := lostTable(is)
+			if tt.before != nil {
+				tt.before(table)
+			}
+			random := newRandom()
+			var chosen []string
+			for range 4 {
+				p, ok := table.Choose(at(2100*ms), random, "u1")
+				is.Equal(ok, len(tt.want) > 0)
+				if ok && !slices.Contains(chosen, p.Instance) {
+					chosen = append(chosen, p.Instance)
+				}
+			}
+			slices.Sort(chosen)
+			is.Equal(chosen, tt.want)
+		})
+	}
+}
+
+// TestNextIsNotPastOnceItIsServed guards against a loop that waits for a time that has passed.
+func TestNextIsNotPastOnceItIsServed(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*Table)
+		active bool
+	}{
+		{name: "nothing fails"},
+		{name: "one failure", before: func(table *Table) { table.RecordFailed(at(0), "u1", Silent) }},
+		{name: "failures, nobody to ask", before: func(table *Table) {
+			table.RecordFailed(at(0), "u1", Silent)
+			table.RecordFailed(at(0), "u2", Silent)
+			table.SetPeers(nil)
+		}},
+		{name: "failures", active: true, before: func(table *Table) {
+			table.RecordFailed(at(0), "u1", Silent)
+			table.RecordFailed(at(0), "u2", Silent)
+		}},
+		{name: "detours, no upstream in use", active: true, before: func(table *Table) {
+			table.RecordFailed(at(0), "u1", Silent)
+			table.RecordFailed(at(0), "u2", Silent)
+			table.RecordAnswer(at(ms), peers[0], &Question{At: at(ms)}, Answer{AnyOpened: 0})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable()
+			if tt.before != nil {
+				tt.before(table)
+			}
+			now := at(2 * ms)
+			table.Ask(now, newRandom(), 3)
+			table.Checks(now, nil)
+			next, active := table.Next(now)
+			is.Equal(active, tt.active)
+			is.True(!active || next.After(now))
+		})
+	}
+}
+
+// TestRandomPaths compares the conclusions with what really opened: no path is detoured
+// unless another instance connected after the last failure in a row began.
+func TestRandomPaths(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable()
+		random := newRandom()
+		others := map[string]time.Time{} // when another instance last connected
+		firstFailed := map[string]time.Time{}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * ms)
+			address := fmt.Sprint("u", rapid.IntRange(1, 4).Draw(t, "address"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				table.RecordOpened(now, address)
+				delete(firstFailed, address)
+				if detoured, _ := table.Detoured(address); detoured {
+					t.Fatalf("%s is detoured after a direct connection", address)
+				}
+			case 1:
+				if _, failed := firstFailed[address]; !failed {
+					firstFailed[address] = now
+				}
+				table.RecordFailed(now, address, Silent)
+			case 2:
+				others[address] = now
+			case 3:
+				q, asked := table.Ask(now, random, 1)
+				if q == nil {
+					continue
+				}
+				a := Answer{AnyOpened: -1}
+				for _, u := range q.Addresses {
+					opened := age(now, others[u])
+					a.Opened = append(a.Opened, opened)
+				}
+				for _, opened := range others {
+					if a.AnyOpened < 0 || age(now, opened) < a.AnyOpened {
+						a.AnyOpened = age(now, opened)
+					}
+				}
+				detoured, lost := table.RecordAnswer(now, asked[0], q, a)
+				for _, u := range detoured {
+					if !others[u].After(firstFailed[u]) {
+						t.Fatalf("%s is detoured, connected to by others at %v and failing since %v", u, others[u], firstFailed[u])
+					}
+				}
+				if lost && len(firstFailed) < minSuspects {
+					t.Fatalf("all paths count as lost, failing: %v", firstFailed)
+				}
+			}
+		}
+	})
+}
