node/exchange, node/mesh: instances ask each other to which upstreams they have connected

Cause: the logs cannot tell an instance that has lost its paths from upstreams that are down. Change: failed connections begin a question to up to three others, which answer from what they have seen; the lines "reach" (the answer) and "path" (the conclusion, and its end) are logged. Nothing acts on them yet. Instances announce the address at which they will take connections for others.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -56,6 +56,9 @@
 	Instance      string `json:"instance"` // name in the platform's list, the same across restarts
 	Address       string `json:"address"`  // IP:port for other instances
 	CallerAddress string `json:"callers"`  // IP:port for callers
+	// TunnelAddress is the IP:port for connections to upstreams that go through this
+	// instance; empty if it takes none.
+	TunnelAddress string `json:"tunnels,omitempty"`
 	FailureDomain string `json:"failure-domain"`
 }
 
--- a/core/placement/domain.go
+++ b/core/placement/domain.go
@@ -51,6 +51,36 @@
 	}
 }
 
+// ForgetUnreachable forgets that upstreams at the addresses that match could not be reached, and
+// their failure domains.
+func (f *Fleet) ForgetUnreachable(matches func(address string) bool) {
+	for _, u := range f.byID {
+		if matches(u.Address) {
+			u.connectFailures = 0
+			u.downUntil = time.Time{}
+			f.domainHealth(u.FailureDomain).noteResponse()
+		}
+	}
+}
+
+// Addresses returns the addresses of the upstreams that are registered.
+func (f *Fleet) Addresses() []string {
+	addresses := make([]string, 0, len(f.byID))
+	for _, u := range f.byID {
+		if u.goneAt.IsZero() {
+			addresses = append(addresses, u.Address)
+		}
+	}
+	return addresses
+}
+
+// AcceptsWorkAt reports whether the upstream is registered at the address and may get new
+// attempts.
+func (f *Fleet) AcceptsWorkAt(now time.Time, id, address string) bool {
+	u := f.byID[id]
+	return u != nil && u.Address == address && f.acceptsWork(now, u)
+}
+
 func (f *Fleet) domainHealth(domain string) *domainHealth {
 	h := f.domainHealths[domain]
 	if h == nil {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/reach"
 	"banyanyard/io/tcp"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -56,6 +57,11 @@
 	return callMethod[gossip.Entry](ctx, c, address, methodReport, e)
 }
 
+// Reach asks a member to which upstreams it has connected.
+func (c *Client) Reach(ctx context.Context, address string, q reach.Question) (reach.Answer, error) {
+	return callMethod[reach.Answer](ctx, c, address, methodReach, q)
+}
+
 // FetchRules asks a member for a newer configuration.
 func (c *Client) FetchRules(ctx context.Context, address string, q RulesRequest) (RulesResult, error) {
 	return callMethod[RulesResult](ctx, c, address, methodFetchRules, q)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -23,6 +23,7 @@
 	methodSync           = "sync"
 	methodUpdateRows     = "rows"
 	methodReport         = "report"
+	methodReach          = "reach"
 	methodFetchRules     = "rules"
 	methodHoldCharges    = "hold-charges"
 	methodReleaseCharges = "release-charges"
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/reach"
 	"banyanyard/io/tcp"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -26,6 +27,7 @@
 	GossipHandler
 	UpdateRows(ctx context.Context, r RowUpdate) (RowResult, error)
 	Report(ctx context.Context, e gossip.Entry) (gossip.Entry, error)
+	Reach(ctx context.Context, q reach.Question) (reach.Answer, error)
 }
 
 // A Handler also answers calls about the configuration, charges and slots. Its
@@ -48,6 +50,7 @@
 	methodSync:           methodOf(GossipHandler.Sync),
 	methodUpdateRows:     methodOf(RowHandler.UpdateRows),
 	methodReport:         methodOf(RowHandler.Report),
+	methodReach:          methodOf(RowHandler.Reach),
 	methodFetchRules:     methodOf(Handler.FetchRules),
 	methodHoldCharges:    methodOf(Handler.HoldCharges),
 	methodReleaseCharges: methodOf(Handler.ReleaseCharges),
--- /dev/null
+++ b/node/exchange/detours.go
@@ -0,0 +1,183 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"banyanyard/core/member"
+	"banyanyard/core/placement"
+	"banyanyard/core/reach"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minDialTime is the time from which on a connection that could not be opened in time
+	// is a sign against its path: a caller's deadline may have cut the wait short.
+	minDialTime = 200 * time.Millisecond
+	// maxAskedInstances is the number of instances that are asked at once to which
+	// upstreams they have connected.
+	maxAskedInstances = 3
+	// idlePathInterval is the time between two looks at the paths while none fails.
+	idlePathInterval = time.Minute
+	// pathCheckTimeout bounds the check of a direct path.
+	pathCheckTimeout = 250 * time.Millisecond
+)
+
+// A ReachClient asks the instance at an address to which upstreams it has connected.
+type ReachClient interface {
+	AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error)
+}
+
+// detours are the paths of this instance to upstreams. It is safe for concurrent use.
+type detours struct {
+	mu     sync.Mutex
+	table  reach.Table // guarded by mu
+	random *rand.Rand  // guarded by mu
+	wake   chan struct{}
+}
+
+func newDetours(domain string) detours {
+	return detours{table: reach.Table{Domain: domain}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), wake: make(chan struct{}, 1)}
+}
+
+// SetPeers replaces the other instances through which connections to upstreams may go: those
+// that live, and that accepts allows.
+func (r *Router) SetPeers(all []member.Status, accepts func(member.Status) bool) {
+	var peers []reach.Peer
+	for _, m := range all {
+		if m.State == member.Live && m.Instance != r.instance && m.TunnelAddress != "" && accepts(m) {
+			peers = append(peers, reach.Peer{ID: m.ID, Instance: m.Instance, Address: m.Address, Tunnel: m.TunnelAddress, FailureDomain: m.FailureDomain})
+		}
+	}
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	r.detours.table.SetPeers(peers)
+}
+
+// RecordDial records that a direct connection to an upstream was opened, or that it could
+// not be, after a time.
+func (r *Router) RecordDial(address string, err error, took time.Duration) {
+	failure := reach.Refused
+	switch {
+	case err == nil, errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, context.Canceled), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+		return // says nothing about the path
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
+		if took < minDialTime {
+			return
+		}
+		failure = reach.Silent
+	}
+	d := &r.detours
+	d.mu.Lock()
+	ended := false
+	if err == nil {
+		ended = d.table.RecordOpened(time.Now(), address)
+	} else {
+		d.table.RecordFailed(time.Now(), address, failure)
+	}
+	d.mu.Unlock()
+	if ended {
+		r.Log.Line("path").Str("address", address).Str("state", "direct").End()
+	}
+	if err == nil {
+		return
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Reach returns to which upstreams this instance has connected.
+func (r *Router) Reach(q reach.Question) reach.Answer {
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	return r.detours.table.Answer(time.Now(), &q)
+}
+
+// RunDetours asks other instances about upstreams to which this one cannot connect, and
+// checks direct paths while connections are detoured, until the context ends.
+func (r *Router) RunDetours(ctx context.Context, client ReachClient, connect func(ctx context.Context, address string) error) {
+	d := &r.detours
+	for {
+		d.mu.Lock()
+		next, active := d.table.Next(time.Now())
+		d.mu.Unlock()
+		if !active {
+			next = time.Now().Add(idlePathInterval)
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+		case <-d.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+		d.mu.Lock()
+		d.table.Expire(time.Now())
+		d.mu.Unlock()
+		r.askPeers(ctx, client)
+		r.checkPaths(ctx, connect)
+	}
+}
+
+// askPeers asks other instances if that is due.
+func (r *Router) askPeers(ctx context.Context, client ReachClient) {
+	d := &r.detours
+	d.mu.Lock()
+	q, peers := d.table.Ask(time.Now(), d.random, maxAskedInstances)
+	d.mu.Unlock()
+	for _, p := range peers {
+		go func() {
+			answer, err := client.AskReach(ctx, p.Address, *q)
+			if err != nil {
+				r.Log.Line("reach").Str("asked", p.Instance).Int("addresses", int64(len(q.Addresses))).Err(err).End()
+				return
+			}
+			r.handleAnswer(p, q, answer)
+		}()
+	}
+}
+
+// handleAnswer logs and adopts what another instance has seen.
+func (r *Router) handleAnswer(from reach.Peer, q *reach.Question, a reach.Answer) {
+	d := &r.detours
+	d.mu.Lock()
+	detoured, lost := d.table.RecordAnswer(time.Now(), from, q, a)
+	d.mu.Unlock()
+	r.Log.Line("reach").Str("asked", from.Instance).Int("addresses", int64(len(q.Addresses))).Millis("any-opened-ms", a.AnyOpened).
+		Bool("lost-there", a.Lost).Int("tunnels", int64(a.Tunnels)).Int("detoured", int64(len(detoured))).Bool("lost", lost).End()
+	for _, address := range detoured {
+		r.Log.Line("path").Str("address", address).Str("state", "detoured").Str("opened-by", from.Instance).End()
+	}
+	if lost {
+		r.Log.Line("path").Str("address", "all").Str("state", "detoured").Str("opened-by", from.Instance).Millis("opened-ms", a.AnyOpened).End()
+	}
+}
+
+// checkPaths checks direct paths if that is due.
+func (r *Router) checkPaths(ctx context.Context, connect func(ctx context.Context, address string) error) {
+	var addresses []string
+	r.WithFleet(func(_ time.Time, f *placement.Fleet) { addresses = f.Addresses() })
+	d := &r.detours
+	d.mu.Lock()
+	due := d.table.Checks(time.Now(), addresses)
+	d.mu.Unlock()
+	for _, address := range due {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+			defer cancel()
+			// The result is recorded where connections are opened.
+			_ = connect(ctx, address)
+		}()
+	}
+}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -40,6 +40,7 @@
 	crashes  crashMonitor
 	stopping stopping
 	demands  demandMeter
+	detours  detours
 	outgoing chan gossip.Entry // entries to publish to the other instances
 	// upstreamsKnown is true once all registrations have been read.
 	upstreamsKnown atomic.Bool
@@ -76,6 +77,7 @@
 		instance:        instance,
 		crashes:         newCrashMonitor(),
 		stopping:        newStopping(),
+		detours:         newDetours(domain),
 		outgoing:        make(chan gossip.Entry, maxOutgoing),
 		fleet:           placement.New(instance, domain),
 		retryBudgets:    map[string]*retry.WindowBudget{},
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"banyanyard/core/load"
 	"banyanyard/core/member"
 	"banyanyard/core/outage"
+	"banyanyard/core/reach"
 	"banyanyard/core/relay"
 	"banyanyard/io/jsonlog"
 	"banyanyard/io/peer"
@@ -58,7 +59,7 @@
 )
 
 // An EventHandler receives what the mesh learns. Its methods must not block; all
-// but HandleReport are called by the loop.
+// but HandleReport and Reach are called by the loop.
 type EventHandler interface {
 	// HandleMembers takes the statuses of all known instances, this one and gone
 	// ones included, after a change.
@@ -80,6 +81,9 @@
 	// Demand returns what this instance sees of the services whose upstreams are ordered;
 	// nil if there are none.
 	Demand() map[string]load.Demand
+	// Reach returns to which upstreams this instance has connected. It is called
+	// concurrently.
+	Reach(q reach.Question) reach.Answer
 	// HandleDemand takes what the instances of each failure domain see of them.
 	HandleDemand(all []load.DomainDemand)
 }
@@ -266,6 +270,16 @@
 	return m.client.Report(ctx, address, e)
 }
 
+// reachTimeout bounds a question about the paths to upstreams.
+const reachTimeout = 300 * time.Millisecond
+
+// AskReach asks the instance at an address to which upstreams it has connected.
+func (m *Mesh) AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return m.client.Reach(ctx, address, q)
+}
+
 // BytesSent returns the number of bytes sent to other instances.
 func (m *Mesh) BytesSent() int64 { return m.traffic.Sent.Load() }
 
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -10,6 +10,7 @@
 
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
+	"banyanyard/core/reach"
 	"banyanyard/io/peer"
 )
 
@@ -241,6 +242,11 @@
 	})
 }
 
+// Reach implements peer.RowHandler.
+func (h handler) Reach(_ context.Context, q reach.Question) (reach.Answer, error) {
+	return h.events.Reach(q), nil
+}
+
 // Report implements peer.RowHandler.
 func (h handler) Report(ctx context.Context, e gossip.Entry) (gossip.Entry, error) {
 	if e.Key == demandKey {
