io/http1: requests that open their connection themselves

Cause: an instance without a path to an upstream sends its requests through another instance, on a connection that carries one request and is opened for its size. Change: Request.Open replaces Client.Dial; no idle connection is taken or kept, OnOpen is not called. The head is composed before the connection is opened, so that the size is known. An error of Open is an UnreachableError that keeps its cause.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -104,6 +104,10 @@
 	// UserTimeout is how long the upstream may acknowledge or read nothing; 0 means the
 	// default of package tcp.
 	UserTimeout time.Duration
+	// Open, if not nil, opens the connection of this request in place of Client.Dial. The
+	// connection carries no other request, and DialTimeout and UserTimeout do not apply to it.
+	// size is the number of bytes of the request.
+	Open func(ctx context.Context, address string, size int64) (net.Conn, error)
 }
 
 // A Client sends requests to upstreams and keeps idle connections to them. The
@@ -135,16 +139,13 @@
 // caller must close the response. The connection is closed when ctx ends. Errors
 // are an UnreachableError or a BrokenError.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address, r)
+	head := appendHead(make([]byte, 0, 1024+len(r.Body)), r)
+	cn, err := c.getConn(ctx, address, r, int64(len(head)+len(r.Body)))
 	if err != nil {
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	if err := cn.setUserTimeout(r.UserTimeout); err != nil {
-		_ = cn.Close()
-		return nil, &UnreachableError{Address: address, Cause: err}
-	}
 	cn.detachContext = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	response, err := cn.roundTrip(r)
+	response, err := cn.roundTrip(r, head)
 	if err != nil {
 		cn.discard()
 		if ctx.Err() != nil {
@@ -154,11 +155,31 @@
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
 		EndsWithConn: EndsWithConn(response),
-		body:         response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
+		body:         response.Body, connClose: response.Close || !r.echoedBy(response) || r.Open != nil, client: c, conn: cn, ctx: ctx}, nil
 }
 
-// getConn returns an idle connection or opens a new one.
-func (c *Client) getConn(ctx context.Context, address string, r *Request) (*conn, error) {
+// getConn returns a connection for a request of size bytes.
+func (c *Client) getConn(ctx context.Context, address string, r *Request, size int64) (*conn, error) {
+	if r.Open != nil {
+		raw, err := r.Open(ctx, address, size)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(raw, address), nil
+	}
+	cn, err := c.idleOrNew(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.setUserTimeout(r.UserTimeout); err != nil {
+		_ = cn.Close()
+		return nil, err
+	}
+	return cn, nil
+}
+
+// idleOrNew returns an idle connection or opens a new one.
+func (c *Client) idleOrNew(ctx context.Context, address string, r *Request) (*conn, error) {
 	if !r.NewConn {
 		if cn := c.takeIdle(address); cn != nil {
 			return cn, nil
@@ -176,7 +197,11 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	return &conn{Conn: raw, reader: NewResponseReader(raw, readBufferBytes), address: address}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	return &conn{Conn: raw, reader: NewResponseReader(raw, readBufferBytes), address: address}
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil. It
@@ -286,14 +311,14 @@
 	_ = cn.Close()
 }
 
-// roundTrip writes the request and reads the head of its response.
-func (cn *conn) roundTrip(r *Request) (*http.Response, error) {
+// roundTrip writes the request, whose head is given, and reads the head of its response.
+func (cn *conn) roundTrip(r *Request, head []byte) (*http.Response, error) {
 	if r.HeadTimeout > 0 {
 		if err := cn.SetDeadline(time.Now().Add(r.HeadTimeout)); err != nil {
 			return nil, err
 		}
 	}
-	if err := cn.write(r); err != nil {
+	if err := cn.write(head, r.Body); err != nil {
 		return nil, err
 	}
 	request := &http.Request{Method: r.Method}
@@ -319,17 +344,16 @@
 
 // write sends the request. It writes a body over inlineBodyBytes in a goroutine,
 // so that the response can be read meanwhile.
-func (cn *conn) write(r *Request) error {
-	head := appendHead(make([]byte, 0, 1024+len(r.Body)), r)
-	if len(r.Body) <= inlineBodyBytes {
-		n, err := cn.Write(append(head, r.Body...))
+func (cn *conn) write(head, body []byte) error {
+	if len(body) <= inlineBodyBytes {
+		n, err := cn.Write(append(head, body...))
 		cn.sent += int64(n)
 		return err
 	}
 	cn.written = make(chan struct{})
 	go func() {
 		defer close(cn.written)
-		buffers := net.Buffers{head, r.Body}
+		buffers := net.Buffers{head, body}
 		n, err := buffers.WriteTo(cn.Conn)
 		cn.sent += n
 		cn.writeErr = err
