fake/network: resets by one end, and the errors of the kernel

Cause: what tells an orderly end from a reset, or a refused connection from one that timed out, could not be tested in memory. Change: SetLinger(0) makes Close a reset, unless the direction is blackholed; refused and reset connections return the kernel's errors, whose texts are those of before. Measured: go test ./fake/... ./io/... passes.

--- a/fake/network/network.go
+++ b/fake/network/network.go
@@ -12,10 +12,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -65,14 +66,14 @@
 		return nil, newDialError(ctx.Err())
 	}
 	if l == nil {
-		return nil, newDialError(errors.New("connection refused"))
+		return nil, newDialError(syscall.ECONNREFUSED)
 	}
 	dialing, accepted := d.network.newConnPair(d.location, l)
 	select {
 	case l.incoming <- accepted:
 		return dialing, nil
 	case <-l.closed:
-		return nil, newDialError(errors.New("connection refused"))
+		return nil, newDialError(syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		return nil, newDialError(ctx.Err())
 	}
@@ -160,14 +161,12 @@
 	defer n.mu.Unlock()
 	for _, c := range n.conns {
 		if c.address == address {
-			c.read.close(errReset)
-			c.write.close(errReset)
+			c.read.close(syscall.ECONNRESET)
+			c.write.close(syscall.ECONNRESET)
 		}
 	}
 }
 
-var errReset = errors.New("connection reset by peer")
-
 type listener struct {
 	network  *Network
 	address  string
@@ -214,6 +213,14 @@
 	read, write *pipe
 	from, to    string
 	address     string
+	resets      atomic.Bool // when it is closed
+}
+
+// SetLinger makes Close reset the connection if sec is 0, like that of net.TCPConn. Other values
+// make it an orderly end.
+func (c *conn) SetLinger(sec int) error {
+	c.resets.Store(sec == 0)
+	return nil
 }
 
 // Read implements net.Conn.
@@ -224,7 +231,11 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.write.close(nil)
+	if c.resets.Load() {
+		c.write.reset()
+	} else {
+		c.write.close(nil)
+	}
 	c.read.close(net.ErrClosed)
 	return nil
 }
--- a/fake/network/pipe.go
+++ b/fake/network/pipe.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -56,6 +57,16 @@
 	p.notifyChange()
 }
 
+// reset ends the pipe as a reset by the writing end does. A blackholed pipe ignores it.
+func (p *pipe) reset() {
+	p.mu.Lock()
+	blackholed := p.blackholed
+	p.mu.Unlock()
+	if !blackholed {
+		p.close(syscall.ECONNRESET)
+	}
+}
+
 func (p *pipe) read(b []byte) (int, error) {
 	for {
 		n, change, err := p.tryRead(b)
