--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -24,15 +24,17 @@
 	keepAliveCount    = 2
 )
 
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     keepAliveIdle,
+	Interval: keepAliveInterval,
+	Count:    keepAliveCount,
+}
+
 var dialer = &net.Dialer{
-	Timeout: dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{
-		Enable:   true,
-		Idle:     keepAliveIdle,
-		Interval: keepAliveInterval,
-		Count:    keepAliveCount,
-	},
-	Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) },
+	Timeout:         dialTimeout,
+	KeepAliveConfig: keepAlive,
+	Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) },
 }
 
 // A DialFunc opens a connection, like net.Dialer.DialContext.
@@ -80,6 +82,20 @@
 	return err
 }
 
+// SetTimeouts gives an accepted connection the keep-alive settings of this package and a user
+// timeout, see SetUserTimeout. It does nothing for a connection that is not a socket.
+func SetTimeouts(c net.Conn, userTimeout time.Duration) error {
+	c = underlying(c)
+	if k, ok := c.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		if err := k.SetKeepAliveConfig(keepAlive); err != nil {
+			return err
+		}
+	}
+	return SetUserTimeout(c, userTimeout)
+}
+
 // A Listener limits the kernel's send buffer of each connection that it accepts
 // to WriteBufferBytes.
 type Listener struct {
