--- a/io/tunnel/copy.go
+++ b/io/tunnel/copy.go
@@ -22,7 +22,7 @@
 	stallInterval = 5 * time.Millisecond
 	// flushTimeout bounds the wait until the asking instance has received the last bytes
 	// before a reset, which may be all that it waits for.
-	flushTimeout = 100 * time.Millisecond
+	flushTimeout = 20 * time.Millisecond
 )
 
 var buffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -135,6 +135,10 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart")
 			_, _ = r.ReadByte()
 		}},
+		{name: "length, upload not read", body: uploadBytes, want: "part", outcome: Closed, serve: func(c *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart")
+			time.Sleep(time.Second)
+		}},
 		{name: "chunks", body: 1, want: "part", outcome: Closed, serve: func(c *net.TCPConn, r *bufio.Reader) {
 			readRequest(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n")
