io/tunnel: pauses of either side, and uploads in the kernel's buffers

Cause: two guards could be taken out without a test that fails: the upstream's acknowledgement of the whole request, and the user timeout of its connection. Change: a reset of an upload that is still in the buffers, after the upstream's orderly end; an upstream and an asking instance that read nothing for 1.8 s, with an answer of 64 MiB of which only the kernel's buffers are taken.

--- a/io/tunnel/ends_test.go
+++ b/io/tunnel/ends_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -108,6 +109,31 @@
 // Read implements io.Reader.
 func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
 
+// TestAskingInstanceThatPauses guards against an answer that is lost, or piles up, because a
+// caller reads nothing for longer than the default of package tcp.
+func TestAskingInstanceThatPauses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size = 64 << 20
+	s := startServer(t)
+	var sent atomic.Bool
+	address := startUpstream(t, func(c *net.TCPConn, r *bufio.Reader) {
+		_, _ = r.ReadByte()
+		_, _ = c.Write(make([]byte, size))
+		sent.Store(true)
+	})
+	c, err := new(Client).Open(t.Context(), s.address, newRequest(address, 1))
+	is.NoErr(err)
+	_, err = c.Write([]byte("x"))
+	is.NoErr(err)
+	time.Sleep(pause)
+	is.True(!sent.Load())
+	n, err := io.Copy(io.Discard, c)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	is.Equal((<-s.ends).Outcome, Ended)
+}
+
 func TestMoreThanTheStatedSizeIsReset(t *testing.T) {
 	is := is.New(t)
 	s := startServer(t)
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -21,6 +21,8 @@
 	partialAnswer = "HTTP/1.1 200 OK\r\n\r\npart"
 	// uploadBytes exceeds what the buffers of all sockets take.
 	uploadBytes = 32 << 20
+	// pause exceeds the default user timeout of package tcp.
+	pause = 1800 * time.Millisecond
 )
 
 func mustListen(t *testing.T) net.Listener {
@@ -166,6 +168,16 @@
 			_ = c.CloseWrite()
 			reset(c)
 		}},
+		{name: "reset of an upload in the buffers after the upstream's end", body: 1 << 20, outcome: Broken, serve: func(c *net.TCPConn, _ *bufio.Reader) {
+			_, _ = io.WriteString(c, partialAnswer)
+			_ = c.CloseWrite()
+			reset(c)
+		}},
+		{name: "upload read after a pause", body: uploadBytes, want: "part", outcome: Ended, serve: func(c *net.TCPConn, r *bufio.Reader) {
+			time.Sleep(pause)
+			readRequest(r)
+			_, _ = io.WriteString(c, partialAnswer)
+		}},
 		{name: "status 000", body: 1, outcome: Closed, serve: func(c *net.TCPConn, r *bufio.Reader) {
 			readRequest(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\npart")
