fake/network: new connections between two locations refused, open ones reset, dials counted

Cause: an instance that loses its paths to the upstreams may find that connections hang, or that new ones are refused while open ones live on or are reset. The network could only block traffic between two locations; refusals and resets existed for an address as a whole. Change: RefuseConns and ResetConnsBetween act on a pair of locations; Heal, and HealBetween for one pair, lift refusals too. DialCount says how many connections were tried from a location to an address.

--- a/fake/network/network.go
+++ b/fake/network/network.go
@@ -1,10 +1,10 @@
 // Package network is an in-memory network with fault injection for tests.
 //
 // Each address belongs to a location, such as a failure domain. Traffic between
-// two locations can be blocked in one direction or both, and the open
-// connections to an address can be blackholed while new ones work. A connection
-// that has lost a byte stays blackholed for good, like one whose state was lost
-// by a middlebox.
+// two locations can be blocked in one direction or both, new connections between
+// them can be refused and the open ones reset, and the open connections to an
+// address can be blackholed while new ones work. A connection that has lost a byte
+// stays blackholed for good, like one whose state was lost by a middlebox.
 //
 // All waiting is done on channels, so that the network works in the fake time of
 // testing/synctest.
@@ -25,11 +25,16 @@
 	mu        sync.Mutex
 	listeners map[string]*listener // guarded by mu; by address
 	blocked   map[direction]bool   // guarded by mu; by locations
+	refused   map[direction]bool   // guarded by mu; by locations, in both orders
 	conns     []*conn              // guarded by mu; both ends of each connection
+	dials     map[dialPath]int     // guarded by mu
 }
 
 type direction struct{ from, to string }
 
+// A dialPath is a location and the address that was dialled from it.
+type dialPath struct{ from, address string }
+
 // Listen opens a listener for an address at a location. It returns an error if
 // the address is in use.
 func (n *Network) Listen(address, location string) (net.Listener, error) {
@@ -56,7 +61,8 @@
 func (n *Network) DialerAt(location string) *Dialer { return &Dialer{network: n, location: location} }
 
 // DialContext connects to an address. It blocks until ctx is done while traffic
-// is blocked in either direction, and is refused at once if nothing listens.
+// is blocked in either direction, and is refused at once if nothing listens or new
+// connections are refused.
 // The network name is ignored.
 func (d *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	l, blocked := d.network.lookUp(d.location, address)
@@ -83,8 +89,12 @@
 func (n *Network) lookUp(location, address string) (l *listener, blocked bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.dials == nil {
+		n.dials = map[dialPath]int{}
+	}
+	n.dials[dialPath{location, address}]++
 	l = n.listeners[address]
-	if l == nil {
+	if l == nil || n.refused[direction{location, l.location}] {
 		return nil, false
 	}
 	return l, n.blocked[direction{location, l.location}] || n.blocked[direction{l.location, location}]
@@ -123,12 +133,48 @@
 	n.BlockTraffic(b, a)
 }
 
-// Heal lifts all blocks for new connections. Connections that were blackholed
-// stay so.
+// RefuseConns refuses new connections between two locations until Heal. Open ones
+// live on.
+func (n *Network) RefuseConns(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = map[direction]bool{}
+	}
+	n.refused[direction{a, b}] = true
+	n.refused[direction{b, a}] = true
+}
+
+// ResetConnsBetween resets the open connections between two locations. New
+// connections work.
+func (n *Network) ResetConnsBetween(a, b string) {
+	n.resetConns(func(c *conn) bool { return c.from == a && c.to == b || c.from == b && c.to == a })
+}
+
+// Heal lifts all blocks and refusals for new connections. Connections that were
+// blackholed or reset stay so.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.blocked = nil
+	n.blocked, n.refused = nil, nil
+}
+
+// HealBetween is Heal for the traffic between two locations.
+func (n *Network) HealBetween(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range []direction{{a, b}, {b, a}} {
+		delete(n.blocked, d)
+		delete(n.refused, d)
+	}
+}
+
+// DialCount returns how many connections to an address were opened, or tried to be
+// opened, from a location.
+func (n *Network) DialCount(from, address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[dialPath{from, address}]
 }
 
 // BlackholeConns makes the open connections to an address drop all data and
@@ -156,10 +202,14 @@
 // ResetConns resets the open connections to an address, as the exit of its
 // process does.
 func (n *Network) ResetConns(address string) {
+	n.resetConns(func(c *conn) bool { return c.address == address })
+}
+
+func (n *Network) resetConns(reset func(c *conn) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.conns {
-		if c.address == address {
+		if reset(c) {
 			c.read.close(errReset)
 			c.write.close(errReset)
 		}
