fake/network: connections are reset at one moment

Cause: ResetConns and ResetConnsBetween reset one connection after the other. A reader that was woken by the first reset could send its next attempt on another connection before that was reset too, in no time on the fake clock: three attempts of a stream were used up by one fault. ResetConnsBetween also took two locations only. Change: none of the connections can be used while they are reset; ResetConnsBetween takes several locations. Conclusion: an instance that ends can be played as one event.

--- a/fake/network/network.go
+++ b/fake/network/network.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -145,10 +146,12 @@
 	n.refused[direction{b, a}] = true
 }
 
-// ResetConnsBetween resets the open connections between two locations. New
-// connections work.
-func (n *Network) ResetConnsBetween(a, b string) {
-	n.resetConns(func(c *conn) bool { return c.from == a && c.to == b || c.from == b && c.to == a })
+// ResetConnsBetween resets the open connections between a location and others, all
+// at one moment. New connections work.
+func (n *Network) ResetConnsBetween(location string, others ...string) {
+	n.resetConns(func(c *conn) bool {
+		return c.from == location && slices.Contains(others, c.to) || c.to == location && slices.Contains(others, c.from)
+	})
 }
 
 // Heal lifts all blocks and refusals for new connections. Connections that were
@@ -205,15 +208,24 @@
 	n.resetConns(func(c *conn) bool { return c.address == address })
 }
 
+// resetConns resets the connections for which reset returns true for both ends. None
+// of them can be used in between.
 func (n *Network) resetConns(reset func(c *conn) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var pipes []*pipe
 	for _, c := range n.conns {
 		if reset(c) {
-			c.read.close(errReset)
-			c.write.close(errReset)
+			pipes = append(pipes, c.read) // the other end reads the other one
+			c.read.mu.Lock()
 		}
 	}
+	for _, p := range pipes {
+		p.closeLocked(errReset)
+	}
+	for _, p := range pipes {
+		p.mu.Unlock()
+	}
 }
 
 var errReset = errors.New("connection reset by peer")
--- a/fake/network/pipe.go
+++ b/fake/network/pipe.go
@@ -45,6 +45,11 @@
 func (p *pipe) close(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeLocked(err)
+}
+
+// closeLocked is close for a caller that holds mu.
+func (p *pipe) closeLocked(err error) {
 	if p.closed || p.blackholed && err == nil {
 		return
 	}
