platform, node/exchange: connections go through another instance while the direct path is lost

Cause: an instance counted what it could not reach as unreachable, and had no way to it other than its own. Change: where other instances have connected since, the attempt's connection is opened through one of them (io/tunnel). The request stays where it is: placement, limits, retries, evidence and usage are counted once, by the instance that took it, and nothing of it is sent before the upstream is connected. A refusal by the other instance says nothing about the upstream, and a connection that breaks on the way none about requests that crash upstreams.

--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -240,13 +240,20 @@
 	Failed
 	// Broken means that the answer was truncated, missing or malformed.
 	Broken
+	// Unsent means that the attempt was not sent for a reason that says nothing about the
+	// upstream, for example because another instance did not open a connection to it.
+	Unsent
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "abandoned", "refused", "misdirected", "unreachable", "silent", "closed", "failed", "broken"}[o]
+	return [...]string{"answered", "abandoned", "refused", "misdirected", "unreachable", "silent", "closed", "failed", "broken", "unsent"}[o]
 }
 
+// ConnectionFailed reports whether the attempt ended because no connection could be opened, or
+// the one that it used has died.
+func (o Outcome) ConnectionFailed() bool { return o == Unreachable || o == Silent || o == Closed }
+
 // IsUnreachable reports whether the upstream of an attempt is believed to be
 // unreachable or gone, which explains an answer that was cut off.
 func (f *Fleet) IsUnreachable(now time.Time, slot *Slot) bool {
@@ -260,7 +267,7 @@
 	u.runningAttempts--
 	s := f.service(u.Service)
 	switch o {
-	case Canceled:
+	case Canceled, Unsent:
 		return
 	case Completed, Failed:
 		u.connectFailures = 0
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -178,7 +178,7 @@
 	p := t.path(address)
 	if p.failures == 0 || !p.detoured && now.Sub(p.last) >= failureRetention {
 		p.failed, p.failures = now, 0
-		t.askSoon(now)
+		t.askSoon()
 	}
 	p.last = now
 	p.failures++
@@ -190,7 +190,7 @@
 }
 
 // askSoon makes a question due as soon as the minimum time since the last one has passed.
-func (t *Table) askSoon(now time.Time) {
+func (t *Table) askSoon() {
 	t.askInterval = 0
 	if soon := t.asked.Add(minAskInterval); soon.Before(t.nextAsk) {
 		t.nextAsk = soon
@@ -290,12 +290,9 @@
 	h.fit = !a.Lost && a.AnyOpened >= 0
 	h.tunnels, h.started = a.Tunnels, 0
 	h.reaches = map[string]bool{}
-	for i, address := range q.Addresses {
-		if i >= len(a.Opened) || a.Opened[i] < 0 {
-			continue
-		}
+	for i, address := range q.Addresses[:min(len(q.Addresses), len(a.Opened))] {
 		p := t.paths[address]
-		if p == nil || p.failures == 0 || !q.At.Add(-a.Opened[i]).After(p.failed) {
+		if p == nil || p.failures == 0 || !q.openedAfter(p.failed, a.Opened[i]) {
 			continue
 		}
 		h.reaches[address] = true
@@ -304,18 +301,8 @@
 			detoured = append(detoured, address)
 		}
 	}
-	failing, silent := 0, 0
-	for _, p := range t.paths {
-		if p.failures > 0 && !p.failed.Before(t.failed) && now.Sub(p.last) < failureRetention {
-			failing++
-			if p.silent {
-				silent++
-			}
-		}
-	}
-	if !t.lost && h.fit && failing >= minSuspects && !t.failed.IsZero() && q.At.Add(-a.AnyOpened).After(t.failed) {
-		t.lost, lost = true, true
-		t.lostSilent = 2*silent > failing
+	if !t.lost && h.fit && !t.failed.IsZero() && q.openedAfter(t.failed, a.AnyOpened) {
+		lost = t.concludeLoss(now)
 	}
 	if lost || len(detoured) > 0 {
 		t.nextCheck = now
@@ -323,6 +310,30 @@
 	return detoured, lost
 }
 
+// openedAfter reports whether a connection of the given age, in an answer, was certainly
+// opened after a time. A negative age means that there was none.
+func (q *Question) openedAfter(at time.Time, age time.Duration) bool {
+	return age >= 0 && q.At.Add(-age).After(at)
+}
+
+// concludeLoss concludes that all paths are lost, if enough of them fail, and reports whether
+// they are.
+func (t *Table) concludeLoss(now time.Time) bool {
+	failing, silent := 0, 0
+	for _, p := range t.paths {
+		if p.failures == 0 || p.failed.Before(t.failed) || now.Sub(p.last) >= failureRetention {
+			continue
+		}
+		failing++
+		if p.silent {
+			silent++
+		}
+	}
+	t.lost = failing >= minSuspects
+	t.lostSilent = 2*silent > failing
+	return t.lost
+}
+
 func (t *Table) helper(p Peer) *helper {
 	if t.helpers == nil {
 		t.helpers = map[string]*helper{}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -227,56 +227,76 @@
 	}
 }
 
+// A pathModel is what really opened.
+type pathModel struct {
+	table       *Table
+	others      map[string]time.Time // when another instance last connected, by address
+	firstFailed map[string]time.Time // since the last direct connection, by address
+}
+
+func (m *pathModel) fail(now time.Time, address string) {
+	if _, failed := m.firstFailed[address]; !failed {
+		m.firstFailed[address] = now
+	}
+	m.table.RecordFailed(now, address, Silent)
+}
+
+func (m *pathModel) open(t *rapid.T, now time.Time, address string) {
+	m.table.RecordOpened(now, address)
+	delete(m.firstFailed, address)
+	if detoured, _ := m.table.Detoured(address); detoured {
+		t.Fatalf("%s is detoured after a direct connection", address)
+	}
+}
+
+// answer returns what another instance answers.
+func (m *pathModel) answer(now time.Time, q *Question) Answer {
+	a := Answer{AnyOpened: -1}
+	for _, u := range q.Addresses {
+		a.Opened = append(a.Opened, age(now, m.others[u]))
+	}
+	for _, opened := range m.others {
+		if a.AnyOpened < 0 || age(now, opened) < a.AnyOpened {
+			a.AnyOpened = age(now, opened)
+		}
+	}
+	return a
+}
+
+func (m *pathModel) ask(t *rapid.T, now time.Time) {
+	q, asked := m.table.Ask(now, newRandom(), 1)
+	if q == nil {
+		return
+	}
+	detoured, lost := m.table.RecordAnswer(now, asked[0], q, m.answer(now, q))
+	for _, u := range detoured {
+		if !m.others[u].After(m.firstFailed[u]) {
+			t.Fatalf("%s is detoured, connected to by others at %v and failing since %v", u, m.others[u], m.firstFailed[u])
+		}
+	}
+	if lost && len(m.firstFailed) < minSuspects {
+		t.Fatalf("all paths count as lost, failing: %v", m.firstFailed)
+	}
+}
+
 // TestRandomPaths compares the conclusions with what really opened: no path is detoured
-// unless another instance connected after the last failure in a row began.
+// unless another instance connected after the failures in a row began.
 func TestRandomPaths(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := newTable()
-		random := newRandom()
-		others := map[string]time.Time{} // when another instance last connected
-		firstFailed := map[string]time.Time{}
+		m := &pathModel{table: newTable(), others: map[string]time.Time{}, firstFailed: map[string]time.Time{}}
 		now := start
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * ms)
 			address := fmt.Sprint("u", rapid.IntRange(1, 4).Draw(t, "address"))
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
-				table.RecordOpened(now, address)
-				delete(firstFailed, address)
-				if detoured, _ := table.Detoured(address); detoured {
-					t.Fatalf("%s is detoured after a direct connection", address)
-				}
+				m.open(t, now, address)
 			case 1:
-				if _, failed := firstFailed[address]; !failed {
-					firstFailed[address] = now
-				}
-				table.RecordFailed(now, address, Silent)
+				m.fail(now, address)
 			case 2:
-				others[address] = now
+				m.others[address] = now
 			case 3:
-				q, asked := table.Ask(now, random, 1)
-				if q == nil {
-					continue
-				}
-				a := Answer{AnyOpened: -1}
-				for _, u := range q.Addresses {
-					opened := age(now, others[u])
-					a.Opened = append(a.Opened, opened)
-				}
-				for _, opened := range others {
-					if a.AnyOpened < 0 || age(now, opened) < a.AnyOpened {
-						a.AnyOpened = age(now, opened)
-					}
-				}
-				detoured, lost := table.RecordAnswer(now, asked[0], q, a)
-				for _, u := range detoured {
-					if !others[u].After(firstFailed[u]) {
-						t.Fatalf("%s is detoured, connected to by others at %v and failing since %v", u, others[u], firstFailed[u])
-					}
-				}
-				if lost && len(firstFailed) < minSuspects {
-					t.Fatalf("all paths count as lost, failing: %v", firstFailed)
-				}
+				m.ask(t, now)
 			}
 		}
 	})
--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -30,10 +30,11 @@
 )
 
 // upstreamCrashed reports whether an attempt ended as if its upstream had
-// crashed: the connection broke while the attempt ran, and not by a timeout.
+// crashed: the connection broke while the attempt ran, and not by a timeout. A connection
+// through another instance may have broken because of that.
 func upstreamCrashed(result attemptResult) bool {
 	var broken *http1.BrokenError
-	return result.outcome == placement.Broken && errors.As(result.err, &broken) && !errors.Is(result.err, os.ErrDeadlineExceeded)
+	return result.outcome == placement.Broken && result.detour == nil && errors.As(result.err, &broken) && !errors.Is(result.err, os.ErrDeadlineExceeded)
 }
 
 // crashWeight returns how probably the request of a broken attempt crashed its
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -33,8 +33,20 @@
 	AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error)
 }
 
+// A Detour is a connection to an upstream through another instance. Nothing of the attempt
+// is sent before the upstream is connected.
+type Detour struct {
+	Peer reach.Peer
+	// Silent is true if open connections to the upstream are probably dead.
+	Silent bool
+}
+
 // detours are the paths of this instance to upstreams. It is safe for concurrent use.
 type detours struct {
+	// tunnels returns the number of connections that this instance has opened for others;
+	// nil means none.
+	tunnels func() int
+
 	mu     sync.Mutex
 	table  reach.Table // guarded by mu
 	random *rand.Rand  // guarded by mu
@@ -45,6 +57,10 @@
 	return detours{table: reach.Table{Domain: domain}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), wake: make(chan struct{}, 1)}
 }
 
+// SetTunnelCount sets the function that returns the number of connections that this
+// instance has opened for others. It must be called before the first request.
+func (r *Router) SetTunnelCount(count func() int) { r.detours.tunnels = count }
+
 // SetPeers replaces the other instances through which connections to upstreams may go: those
 // that live, and that accepts allows.
 func (r *Router) SetPeers(all []member.Status, accepts func(member.Status) bool) {
@@ -98,7 +114,11 @@
 func (r *Router) Reach(q reach.Question) reach.Answer {
 	r.detours.mu.Lock()
 	defer r.detours.mu.Unlock()
-	return r.detours.table.Answer(time.Now(), &q)
+	a := r.detours.table.Answer(time.Now(), &q)
+	if r.detours.tunnels != nil {
+		a.Tunnels = r.detours.tunnels()
+	}
+	return a
 }
 
 // RunDetours asks other instances about upstreams to which this one cannot connect, and
@@ -162,6 +182,9 @@
 	if lost {
 		r.Log.Line("path").Str("address", "all").Str("state", "detoured").Str("opened-by", from.Instance).Millis("opened-ms", a.AnyOpened).End()
 	}
+	if lost || len(detoured) > 0 {
+		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(r.isDetoured) })
+	}
 }
 
 // checkPaths checks direct paths if that is due.
@@ -181,3 +204,55 @@
 		}()
 	}
 }
+
+// isDetoured reports whether new connections to an address take a detour.
+func (r *Router) isDetoured(address string) bool {
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	detoured, _ := r.detours.table.Detoured(address)
+	return detoured
+}
+
+// detourTo returns the detour that a new connection to an address takes, or nil.
+func (r *Router) detourTo(address string) *Detour {
+	d := &r.detours
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	detoured, silent := d.table.Detoured(address)
+	if !detoured {
+		return nil
+	}
+	p, ok := d.table.Choose(time.Now(), d.random, address)
+	if !ok {
+		return nil
+	}
+	return &Detour{Peer: p, Silent: silent}
+}
+
+// avoidPeer leaves an instance out of detours for a time.
+func (r *Router) avoidPeer(id string) {
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	r.detours.table.Avoid(time.Now(), id)
+}
+
+// AllowTunnel returns an error if the instance whose start has the ID may not connect to
+// the upstream through this one.
+func (r *Router) AllowTunnel(from, upstream, address string) error {
+	r.detours.mu.Lock()
+	known := r.detours.table.Knows(from)
+	detoured, _ := r.detours.table.Detoured(address)
+	r.detours.mu.Unlock()
+	switch {
+	case !known:
+		return errors.New("the instance is not a live member of this deployment")
+	case detoured:
+		return errors.New("this instance has no path to the upstream")
+	}
+	accepted := false
+	r.WithFleet(func(now time.Time, f *placement.Fleet) { accepted = f.AcceptsWorkAt(now, upstream, address) })
+	if !accepted {
+		return errors.Errorf("upstream %s is not known at %s, or takes no work", upstream, address)
+	}
+	return nil
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -95,6 +95,9 @@
 	// SilenceTimeout is how long the upstream may acknowledge or read nothing; 0 means the
 	// transport's default.
 	SilenceTimeout time.Duration
+	// Detour is the instance through which a new connection to the upstream is opened; nil
+	// for a direct one.
+	Detour *Detour
 }
 
 // A Head is the status and header of an answer.
@@ -141,7 +144,8 @@
 	Close()
 }
 
-// A Transport sends attempts. Its errors have the types of package http1.
+// A Transport sends attempts. Its errors have the types of package http1. One that wraps a
+// tunnel.RefusedError says nothing about the upstream.
 type Transport interface {
 	Send(ctx context.Context, a *Attempt) (Answer, error)
 }
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -24,6 +24,7 @@
 	escalations *prometheus.CounterVec   // decisions on larger models, by service and reason
 	refusals    *prometheus.CounterVec   // by kind
 	connections prometheus.Counter
+	tunnels     *prometheus.CounterVec // connections opened for other instances, by outcome
 	// unpublished counts entries for other instances that did not fit the queue.
 	unpublished prometheus.Counter
 }
@@ -41,15 +42,20 @@
 		refusals:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_refusals_total", Help: "Requests that were not answered, by kind."}, []string{"kind"}),
 		escalations: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_escalation_decisions_total", Help: "Decisions whether a larger model is asked, by reason."}, []string{"service", "reason"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_connections_opened_total", Help: "Connections opened to upstreams."}),
+		tunnels:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "banyanyard_tunnels_total", Help: "Connections to upstreams opened for other instances, by outcome."}, []string{"outcome"}),
 		unpublished: prometheus.NewCounter(prometheus.CounterOpts{Name: "banyanyard_entries_dropped_total", Help: "Gossip entries dropped because the queue was full."}),
 	}
-	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.escalations, m.refusals, m.connections, m.unpublished)
+	m.Registry.MustRegister(m.requests, m.firstEvent, m.attempts, m.escalations, m.refusals, m.connections, m.tunnels, m.unpublished)
 	return m
 }
 
 // CountConnection counts a connection opened to an upstream.
 func (m *Metrics) CountConnection() { m.connections.Inc() }
 
+// CountTunnel counts a connection to an upstream that was opened, or not, for another
+// instance.
+func (m *Metrics) CountTunnel(outcome string) { m.tunnels.WithLabelValues(outcome).Inc() }
+
 func (e *execution) logAttempt(slot *placement.Slot, result attemptResult) {
 	e.router.Metrics.attempts.WithLabelValues(e.request.Service, result.outcome.String()).Inc()
 	line := e.router.Log.Line("attempt").
@@ -63,6 +69,9 @@
 		Str("outcome", result.outcome.String()).
 		Int("status", int64(result.status)).
 		Millis("took-ms", result.took)
+	if result.detour != nil {
+		line.Str("through", result.detour.Peer.Instance)
+	}
 	if slot.Load >= 0 {
 		line.Int("load", int64(math.Round(slot.Load))).Millis("load-age-ms", slot.LoadAge)
 	}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -16,6 +16,7 @@
 	"banyanyard/core/refusal"
 	"banyanyard/core/suspect"
 	"banyanyard/io/http1"
+	"banyanyard/io/tunnel"
 )
 
 const (
@@ -144,6 +145,7 @@
 	eventGap     time.Duration // average between the first events; 0 if there were too few
 	status       int
 	limit        float64       // that the answer named, in requests a second; 0 if none
+	detour       *Detour       // that a new connection took; nil for none
 	writing      time.Duration // from the first event to the end of the attempt; 0 without an event
 }
 
@@ -233,20 +235,7 @@
 	start := time.Now()
 	e.attempts++
 	e.tried = append(e.tried, slot.Upstream.ID)
-	a := &Attempt{
-		Request:     e.request,
-		Upstream:    slot.Upstream,
-		LastEventID: e.lastEventID,
-		TimeLeft:    time.Until(e.request.Deadline),
-	}
-	if len(e.models) > 0 {
-		a.Model = e.models[e.modelIndex]
-	}
-	if e.mayFollow() {
-		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
-	} else {
-		a.SilenceTimeout = lastSilenceTimeout
-	}
+	a := e.newAttempt(slot)
 	reading := e.router.demands.begin(e.request.Service)
 	defer reading.end()
 	e.reading = reading
@@ -255,7 +244,9 @@
 	defer e.router.crashes.end(e)
 	answer, err := e.router.Transport.Send(ctx, a)
 	if err != nil {
-		return e.classifySendError(ctx, err, start)
+		result := e.classifySendError(ctx, err, start)
+		result.detour = a.Detour
+		return result
 	}
 	defer answer.Close()
 	e.router.recordLimit(slot, answer.Head(), start)
@@ -265,12 +256,33 @@
 	result.took = time.Since(start)
 	result.status = answer.Head().Status
 	result.limit = answer.Head().Limit
+	result.detour = a.Detour
 	if result.outcome == placement.Completed {
 		result.firstEvent = headLatency
 	}
 	return result
 }
 
+// newAttempt returns the attempt to send to an upstream.
+func (e *execution) newAttempt(slot *placement.Slot) *Attempt {
+	a := &Attempt{
+		Request:     e.request,
+		Upstream:    slot.Upstream,
+		LastEventID: e.lastEventID,
+		TimeLeft:    time.Until(e.request.Deadline),
+		Detour:      e.router.detourTo(slot.Upstream.Address),
+	}
+	if len(e.models) > 0 {
+		a.Model = e.models[e.modelIndex]
+	}
+	if e.mayFollow() {
+		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
+	} else {
+		a.SilenceTimeout = lastSilenceTimeout
+	}
+	return a
+}
+
 // mayFollow reports whether another attempt may follow the one in progress, so that giving up
 // on its upstream for a pause gains anything.
 func (e *execution) mayFollow() bool {
@@ -291,10 +303,14 @@
 func (e *execution) classifySendError(ctx context.Context, err error, start time.Time) attemptResult {
 	result := attemptResult{outcome: placement.Broken, err: err, took: time.Since(start)}
 	var unreachable *http1.UnreachableError
+	var refused *tunnel.RefusedError
 	switch {
 	case ctx.Err() != nil:
 		result.outcome = placement.Canceled
 		result.notRun = errors.As(err, &unreachable)
+	case errors.As(err, &refused):
+		result.outcome = placement.Unsent
+		result.notRun = true
 	case errors.As(err, &unreachable):
 		result.outcome = placement.Unreachable
 		result.notRun = true
@@ -438,6 +454,10 @@
 	if notSent(result) {
 		// No upstream received anything, so the attempt doesn't count.
 		e.attempts--
+		if result.outcome == placement.Unsent {
+			e.tried = e.tried[:len(e.tried)-1]
+			e.router.avoidPeer(result.detour.Peer.ID)
+		}
 		return nil
 	}
 	if !e.router.spendRetry(e.request.Service) {
@@ -453,7 +473,7 @@
 
 // notSent reports whether no byte of the request was sent.
 func notSent(result attemptResult) bool {
-	return result.notRun && (result.outcome == placement.Unreachable || result.outcome == placement.Closed)
+	return result.notRun && (result.outcome == placement.Unreachable || result.outcome == placement.Closed || result.outcome == placement.Unsent)
 }
 
 // finalError returns the error of a request that was not answered. If an upstream
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -242,10 +242,14 @@
 	case result.done:
 		r.recordAnswer(e)
 	}
+	outcome := result.outcome
+	if result.detour == nil && outcome.ConnectionFailed() && r.isDetoured(s.Upstream.Address) {
+		outcome = placement.Canceled // it is this instance's path that failed
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.fleet.Release(now, s, result.outcome)
+	r.fleet.Release(now, s, outcome)
 	r.recordOutcome(e, s, result)
 	broken := result.outcome == placement.Silent || result.outcome == placement.Broken
 	return broken && r.fleet.IsUnreachable(now, s)
