core/reach: answers on open connections show that an upstream is reached

Callers saw: at an instance that is cut off from the upstreams of one service only, a third of all requests (its streams) were refused while connections hung. Cause: other instances answered only what they had opened. Engines keep connections, so that they had opened none since; and this instance still opened others, so that not all paths counted as lost. Change: an answer on a direct connection counts as well, unless new connections to that upstream fail.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -3,16 +3,17 @@
 // which connections are opened in the latter case.
 //
 // A connection that cannot be opened says nothing about which of the two is at fault.
-// Another instance that has opened one to the same address since then shows that it is the
+// Another instance that has reached the same address since then shows that it is the
 // path: new connections take a detour through an instance, until a direct one opens. Where
-// this instance has opened none at all since its first failure, and another one has, all
-// paths count as lost.
+// this instance has opened none at all since its first failure, and another one has reached
+// some upstream, all paths count as lost.
 //
 // A Table is not safe for concurrent use. Its methods take the current time, never block
 // and do no I/O.
 //
 // Invariants:
-//   - a path is detoured only if another instance has connected after this one failed to;
+//   - a path is detoured only if another instance has reached the upstream after this one
+//     failed to;
 //   - a direct connection that opens ends the detour of its path, and the loss of all paths.
 package reach
 
@@ -66,11 +67,12 @@
 // A path is what is known of connections from this instance to one address.
 type path struct {
 	opened   time.Time // when the last direct connection was opened; zero for never
+	heard    time.Time // when the upstream last answered on a direct connection; zero for never
 	failed   time.Time // first failure since then; zero for none
 	last     time.Time // last failure since then
 	failures int       // since then
 	silent   bool      // the last failure was Silent
-	detoured bool      // another instance has connected since failed
+	detoured bool      // another instance has reached the upstream since failed
 }
 
 // suspect reports whether the path fails and it is not known why.
@@ -87,18 +89,19 @@
 	FailureDomain string
 }
 
-// A Question asks other instances to which addresses they have connected.
+// A Question asks other instances which addresses they have reached.
 type Question struct {
 	Addresses []string  `json:"addresses"`
 	At        time.Time `json:"-"` // when it was asked; ages in the answer are from some time after it
 }
 
-// An Answer is what an instance has seen itself. Ages are negative for never.
+// An Answer is what an instance has seen itself: when it last opened a direct connection, or
+// got an answer on one while it can open others. Ages are negative for never.
 type Answer struct {
-	Opened    []time.Duration `json:"opened"`     // age of the last connection, for each address of the question
-	AnyOpened time.Duration   `json:"any-opened"` // age of the last connection to any upstream
-	Lost      bool            `json:"lost"`       // it has lost its own paths
-	Tunnels   int             `json:"tunnels"`    // that it serves
+	Reached    []time.Duration `json:"reached"`     // since each address of the question was reached
+	AnyReached time.Duration   `json:"any-reached"` // since any upstream was reached
+	Lost       bool            `json:"lost"`        // it has lost its own paths
+	Tunnels    int             `json:"tunnels"`     // that it serves
 }
 
 // helper is what a peer has answered.
@@ -120,6 +123,7 @@
 	helpers     map[string]*helper
 	peers       []Peer
 	opened      time.Time // when any direct connection was last opened
+	heard       time.Time // when any upstream last answered on a direct connection
 	failed      time.Time // first failure since then; zero for none
 	lastFailed  time.Time // last failure
 	lost        bool      // all paths are lost
@@ -167,12 +171,19 @@
 func (t *Table) RecordOpened(now time.Time, address string) bool {
 	p := t.path(address)
 	ended := p.detoured || t.lost
-	*p = path{opened: now}
-	t.opened, t.failed = now, time.Time{}
+	*p = path{opened: now, heard: now}
+	t.opened, t.heard, t.failed = now, now, time.Time{}
 	t.lost = false
 	return ended
 }
 
+// RecordHeard records that an upstream has answered on a direct connection, which may have
+// been opened long ago. That says nothing about new ones of this instance while they fail.
+func (t *Table) RecordHeard(now time.Time, address string) {
+	t.path(address).heard = now
+	t.heard = now
+}
+
 // RecordFailed records that a direct connection could not be opened.
 func (t *Table) RecordFailed(now time.Time, address string, f Failure) {
 	p := t.path(address)
@@ -287,12 +298,12 @@
 func (t *Table) RecordAnswer(now time.Time, from Peer, q *Question, a Answer) (detoured []string, lost bool) {
 	h := t.helper(from)
 	h.answered = now
-	h.fit = !a.Lost && a.AnyOpened >= 0
+	h.fit = !a.Lost && a.AnyReached >= 0
 	h.tunnels, h.started = a.Tunnels, 0
 	h.reaches = map[string]bool{}
-	for i, address := range q.Addresses[:min(len(q.Addresses), len(a.Opened))] {
+	for i, address := range q.Addresses[:min(len(q.Addresses), len(a.Reached))] {
 		p := t.paths[address]
-		if p == nil || p.failures == 0 || !q.openedAfter(p.failed, a.Opened[i]) {
+		if p == nil || p.failures == 0 || !q.reachedAfter(p.failed, a.Reached[i]) {
 			continue
 		}
 		h.reaches[address] = true
@@ -301,7 +312,7 @@
 			detoured = append(detoured, address)
 		}
 	}
-	if !t.lost && h.fit && !t.failed.IsZero() && q.openedAfter(t.failed, a.AnyOpened) {
+	if !t.lost && h.fit && !t.failed.IsZero() && q.reachedAfter(t.failed, a.AnyReached) {
 		lost = t.concludeLoss(now)
 	}
 	if lost || len(detoured) > 0 {
@@ -310,9 +321,9 @@
 	return detoured, lost
 }
 
-// openedAfter reports whether a connection of the given age, in an answer, was certainly
-// opened after a time. A negative age means that there was none.
-func (q *Question) openedAfter(at time.Time, age time.Duration) bool {
+// reachedAfter reports whether an age in an answer is certainly that of a time after another.
+// A negative age means that there was none.
+func (q *Question) reachedAfter(at time.Time, age time.Duration) bool {
 	return age >= 0 && q.At.Add(-age).After(at)
 }
 
@@ -431,13 +442,16 @@
 
 // Answer returns what this instance has seen.
 func (t *Table) Answer(now time.Time, q *Question) Answer {
-	a := Answer{AnyOpened: age(now, t.opened), Lost: t.lost}
+	a := Answer{AnyReached: age(now, t.heard), Lost: t.lost}
+	if len(t.suspects(now)) > 0 {
+		a.AnyReached = age(now, t.opened)
+	}
 	for _, address := range q.Addresses[:min(len(q.Addresses), maxAsked)] {
-		opened := time.Time{}
-		if p := t.paths[address]; p != nil {
-			opened = p.opened
+		reached := time.Time{}
+		if p := t.paths[address]; p != nil && p.failures == 0 {
+			reached = p.heard
 		}
-		a.Opened = append(a.Opened, age(now, opened))
+		a.Reached = append(a.Reached, age(now, reached))
 	}
 	return a
 }
@@ -464,7 +478,7 @@
 // Expire forgets paths that have not been used for long.
 func (t *Table) Expire(now time.Time) {
 	for address, p := range t.paths {
-		if now.Sub(p.opened) > pathRetention && now.Sub(p.last) > pathRetention {
+		if now.Sub(p.heard) > pathRetention && now.Sub(p.last) > pathRetention {
 			delete(t.paths, address)
 		}
 	}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -31,9 +31,9 @@
 
 const ms = time.Millisecond
 
-// TestPathIsDetouredOnlyIfAnotherInstanceHasConnectedSince guards against an upstream that is
+// TestPathIsDetouredOnlyIfAnotherInstanceHasReachedIt guards against an upstream that is
 // down being taken for a lost path, and the reverse.
-func TestPathIsDetouredOnlyIfAnotherInstanceHasConnectedSince(t *testing.T) {
+func TestPathIsDetouredOnlyIfAnotherInstanceHasReachedIt(t *testing.T) {
 	tests := []struct {
 		name     string
 		before   func(*Table) // the first failures are at 1 s, the answer at 1.5 s
@@ -41,22 +41,22 @@
 		detoured []string
 		lost     bool
 	}{
-		{name: "connected since", answer: Answer{Opened: []time.Duration{100 * ms, 100 * ms}, AnyOpened: 100 * ms}, detoured: []string{"u1", "u2"}, lost: true},
-		{name: "connected before", answer: Answer{Opened: []time.Duration{600 * ms, 600 * ms}, AnyOpened: 600 * ms}},
-		{name: "never connected", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: -1}},
-		{name: "connected to one of them", answer: Answer{Opened: []time.Duration{-1, 50 * ms}, AnyOpened: 50 * ms}, detoured: []string{"u2"}, lost: true},
-		{name: "connected to others only", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms}, lost: true},
+		{name: "connected since", answer: Answer{Reached: []time.Duration{100 * ms, 100 * ms}, AnyReached: 100 * ms}, detoured: []string{"u1", "u2"}, lost: true},
+		{name: "connected before", answer: Answer{Reached: []time.Duration{600 * ms, 600 * ms}, AnyReached: 600 * ms}},
+		{name: "never connected", answer: Answer{Reached: []time.Duration{-1, -1}, AnyReached: -1}},
+		{name: "connected to one of them", answer: Answer{Reached: []time.Duration{-1, 50 * ms}, AnyReached: 50 * ms}, detoured: []string{"u2"}, lost: true},
+		{name: "connected to others only", answer: Answer{Reached: []time.Duration{-1, -1}, AnyReached: 50 * ms}, lost: true},
 		{
 			name:   "connected to others only, and so has this instance",
 			before: func(table *Table) { table.RecordOpened(at(1200*ms), "u3") },
-			answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms},
+			answer: Answer{Reached: []time.Duration{-1, -1}, AnyReached: 50 * ms},
 		},
-		{name: "has lost its own paths", answer: Answer{Opened: []time.Duration{-1, -1}, AnyOpened: 50 * ms, Lost: true}},
-		{name: "too few ages", answer: Answer{AnyOpened: -1}},
+		{name: "has lost its own paths", answer: Answer{Reached: []time.Duration{-1, -1}, AnyReached: 50 * ms, Lost: true}},
+		{name: "too few ages", answer: Answer{AnyReached: -1}},
 		{
 			name:     "opened here since",
 			before:   func(table *Table) { table.RecordOpened(at(1400*ms), "u1") },
-			answer:   Answer{Opened: []time.Duration{100 * ms, 100 * ms}, AnyOpened: 100 * ms},
+			answer:   Answer{Reached: []time.Duration{100 * ms, 100 * ms}, AnyReached: 100 * ms},
 			detoured: []string{"u2"},
 		},
 	}
@@ -116,7 +116,7 @@
 	q, _ := table.Ask(at(1900*ms), newRandom(), 3)
 	q.At = at(2 * time.Second)
 	for _, p := range peers {
-		table.RecordAnswer(at(2*time.Second), p, q, Answer{Opened: []time.Duration{10 * ms, -1}, AnyOpened: 10 * ms})
+		table.RecordAnswer(at(2*time.Second), p, q, Answer{Reached: []time.Duration{10 * ms, -1}, AnyReached: 10 * ms})
 	}
 	is.True(table.Lost())
 	return table
@@ -134,7 +134,7 @@
 	detoured, _ := table.Detoured("u2")
 	is.True(!detoured)
 	detoured, silent := table.Detoured("u1")
-	is.True(detoured && silent) // another instance has connected to it; it is checked itself
+	is.True(detoured && silent) // another instance has reached it; it is checked itself
 	is.Equal(table.Checks(at(3500*ms), known), []string{"u1"})
 	is.True(table.RecordOpened(at(3500*ms), "u1"))
 	is.True(!table.Detours())
@@ -151,16 +151,16 @@
 		{name: "avoided", before: func(table *Table) { table.Avoid(at(2*time.Second), "b-1") }, want: []string{"c", "d"}},
 		{name: "gone", before: func(table *Table) { table.SetPeers(peers[1:2]) }, want: []string{"c"}},
 		{name: "has lost its paths", before: func(table *Table) {
-			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyOpened: ms, Lost: true})
+			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyReached: ms, Lost: true})
 		}, want: []string{"c", "d"}},
 		{name: "has many tunnels", before: func(table *Table) {
-			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyOpened: ms, Tunnels: 100})
+			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyReached: ms, Tunnels: 100})
 		}, want: []string{"c", "d"}},
 		{name: "none is left", before: func(table *Table) { table.SetPeers(nil) }},
 		{name: "only some reach the upstream", before: func(table *Table) {
 			q := &Question{Addresses: []string{"u1"}}
-			table.RecordAnswer(at(2*time.Second), peers[0], q, Answer{Opened: []time.Duration{-1}, AnyOpened: ms})
-			table.RecordAnswer(at(2*time.Second), peers[1], q, Answer{Opened: []time.Duration{-1}, AnyOpened: ms})
+			table.RecordAnswer(at(2*time.Second), peers[0], q, Answer{Reached: []time.Duration{-1}, AnyReached: ms})
+			table.RecordAnswer(at(2*time.Second), peers[1], q, Answer{Reached: []time.Duration{-1}, AnyReached: ms})
 			table.RecordOpened(at(2*time.Second), "u3") // not all paths are lost
 		}, want: []string{"d"}},
 	}
@@ -207,7 +207,7 @@
 		{name: "detours, no upstream in use", active: true, before: func(table *Table) {
 			table.RecordFailed(at(0), "u1", Silent)
 			table.RecordFailed(at(0), "u2", Silent)
-			table.RecordAnswer(at(ms), peers[0], &Question{At: at(ms)}, Answer{AnyOpened: 0})
+			table.RecordAnswer(at(ms), peers[0], &Question{At: at(ms)}, Answer{AnyReached: 0})
 		}},
 	}
 	for _, tt := range tests {
@@ -227,6 +227,38 @@
 	}
 }
 
+// TestAnswer guards against an instance that is asked for connections which it cannot open
+// itself, as only old ones live on.
+func TestAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*Table)
+		want   Answer
+	}{
+		{name: "nothing", want: Answer{Reached: []time.Duration{-1}, AnyReached: -1}},
+		{name: "opened", before: func(table *Table) { table.RecordOpened(at(0), "u1") }, want: Answer{Reached: []time.Duration{time.Second}, AnyReached: time.Second}},
+		{name: "heard", before: func(table *Table) {
+			table.RecordOpened(at(0), "u1")
+			table.RecordHeard(at(600*ms), "u1")
+		}, want: Answer{Reached: []time.Duration{400 * ms}, AnyReached: 400 * ms}},
+		{name: "heard, but new connections fail", before: func(table *Table) {
+			table.RecordOpened(at(0), "u1")
+			table.RecordFailed(at(500*ms), "u1", Refused)
+			table.RecordHeard(at(600*ms), "u1")
+		}, want: Answer{Reached: []time.Duration{-1}, AnyReached: time.Second}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable()
+			if tt.before != nil {
+				tt.before(table)
+			}
+			is.Equal(table.Answer(at(time.Second), &Question{Addresses: []string{"u1"}}), tt.want)
+		})
+	}
+}
+
 // A pathModel is what really opened.
 type pathModel struct {
 	table       *Table
@@ -251,13 +283,13 @@
 
 // answer returns what another instance answers.
 func (m *pathModel) answer(now time.Time, q *Question) Answer {
-	a := Answer{AnyOpened: -1}
+	a := Answer{AnyReached: -1}
 	for _, u := range q.Addresses {
-		a.Opened = append(a.Opened, age(now, m.others[u]))
+		a.Reached = append(a.Reached, age(now, m.others[u]))
 	}
 	for _, opened := range m.others {
-		if a.AnyOpened < 0 || age(now, opened) < a.AnyOpened {
-			a.AnyOpened = age(now, opened)
+		if a.AnyReached < 0 || age(now, opened) < a.AnyReached {
+			a.AnyReached = age(now, opened)
 		}
 	}
 	return a
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -57,7 +57,7 @@
 	return callMethod[gossip.Entry](ctx, c, address, methodReport, e)
 }
 
-// Reach asks a member to which upstreams it has connected.
+// Reach asks a member which upstreams it has reached.
 func (c *Client) Reach(ctx context.Context, address string, q reach.Question) (reach.Answer, error) {
 	return callMethod[reach.Answer](ctx, c, address, methodReach, q)
 }
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -19,8 +19,8 @@
 	// minDialTime is the time from which on a connection that could not be opened in time
 	// is a sign against its path: a caller's deadline may have cut the wait short.
 	minDialTime = 200 * time.Millisecond
-	// maxAskedInstances is the number of instances that are asked at once to which
-	// upstreams they have connected.
+	// maxAskedInstances is the number of instances that are asked at once which
+	// upstreams they have reached.
 	maxAskedInstances = 3
 	// idlePathInterval is the time between two looks at the paths while none fails.
 	idlePathInterval = time.Minute
@@ -28,7 +28,7 @@
 	pathCheckTimeout = 250 * time.Millisecond
 )
 
-// A ReachClient asks the instance at an address to which upstreams it has connected.
+// A ReachClient asks the instance at an address which upstreams it has reached.
 type ReachClient interface {
 	AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error)
 }
@@ -110,7 +110,14 @@
 	}
 }
 
-// Reach returns to which upstreams this instance has connected.
+// recordHeard records that an upstream has answered on a direct connection.
+func (r *Router) recordHeard(address string) {
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	r.detours.table.RecordHeard(time.Now(), address)
+}
+
+// Reach returns which upstreams this instance has reached.
 func (r *Router) Reach(q reach.Question) reach.Answer {
 	r.detours.mu.Lock()
 	defer r.detours.mu.Unlock()
@@ -174,13 +181,13 @@
 	d.mu.Lock()
 	detoured, lost := d.table.RecordAnswer(time.Now(), from, q, a)
 	d.mu.Unlock()
-	r.Log.Line("reach").Str("asked", from.Instance).Int("addresses", int64(len(q.Addresses))).Millis("any-opened-ms", a.AnyOpened).
+	r.Log.Line("reach").Str("asked", from.Instance).Int("addresses", int64(len(q.Addresses))).Millis("any-reached-ms", a.AnyReached).
 		Bool("lost-there", a.Lost).Int("tunnels", int64(a.Tunnels)).Int("detoured", int64(len(detoured))).Bool("lost", lost).End()
 	for _, address := range detoured {
-		r.Log.Line("path").Str("address", address).Str("state", "detoured").Str("opened-by", from.Instance).End()
+		r.Log.Line("path").Str("address", address).Str("state", "detoured").Str("reached-by", from.Instance).End()
 	}
 	if lost {
-		r.Log.Line("path").Str("address", "all").Str("state", "detoured").Str("opened-by", from.Instance).Millis("opened-ms", a.AnyOpened).End()
+		r.Log.Line("path").Str("address", "all").Str("state", "detoured").Str("reached-by", from.Instance).Millis("reached-ms", a.AnyReached).End()
 	}
 	if lost || len(detoured) > 0 {
 		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(r.isDetoured) })
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -249,6 +249,9 @@
 		return result
 	}
 	defer answer.Close()
+	if a.Detour == nil {
+		e.router.recordHeard(slot.Upstream.Address)
+	}
 	e.router.recordLimit(slot, answer.Head(), start)
 	e.router.recordAdmission(slot, answer.Head())
 	headLatency := time.Since(start)
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -81,7 +81,7 @@
 	// Demand returns what this instance sees of the services whose upstreams are ordered;
 	// nil if there are none.
 	Demand() map[string]load.Demand
-	// Reach returns to which upstreams this instance has connected. It is called
+	// Reach returns which upstreams this instance has reached. It is called
 	// concurrently.
 	Reach(q reach.Question) reach.Answer
 	// HandleDemand takes what the instances of each failure domain see of them.
@@ -273,7 +273,7 @@
 // reachTimeout bounds a question about the paths to upstreams.
 const reachTimeout = 300 * time.Millisecond
 
-// AskReach asks the instance at an address to which upstreams it has connected.
+// AskReach asks the instance at an address which upstreams it has reached.
 func (m *Mesh) AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
