--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -91,6 +91,8 @@
 	case err == nil && e.failure != nil && !e.streamBegun.Load():
 		outcome = "upstream-failure"
 	case err == nil:
+	case errors.Is(err, ErrNotDelivered):
+		outcome = "not-delivered"
 	case errors.Is(err, context.Canceled):
 		outcome = "caller-left"
 	case errors.Is(err, ErrTruncated):
@@ -99,7 +101,7 @@
 		outcome = string(refused.Kind)
 		e.router.Metrics.refusals.WithLabelValues(outcome).Inc()
 	default:
-		outcome = "not-delivered"
+		outcome = "failed"
 	}
 	e.router.demands.recordResult(now, e, refused)
 	e.router.Metrics.requests.WithLabelValues(q.Organisation, q.Route.Name).Observe(now.Sub(q.Arrived).Seconds())
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -89,8 +89,8 @@
 // errDeadline is the cause of contexts that end at the caller's deadline.
 var errDeadline = errors.New("the caller's deadline has passed")
 
-// Run answers a request. If it returns an error that doesn't wrap ErrTruncated,
-// nothing of an answer has been sent to the caller, or sending it failed.
+// Run answers a request. If it returns an error that wraps neither ErrTruncated nor
+// ErrNotDelivered, nothing of an answer has been sent to the caller.
 func (r *Router) Run(ctx context.Context, q *Request, out AnswerWriter) error {
 	e := &execution{router: r, request: q, answerWriter: out, lastEventID: q.LastEventID}
 	if !q.CallerModel {
@@ -110,6 +110,18 @@
 // be completed.
 var ErrTruncated = errors.New("the answer was cut off after part of it had been sent")
 
+// ErrNotDelivered reports that the answer cannot be written to the caller.
+var ErrNotDelivered = errors.New("the answer cannot be written to the caller")
+
+// notDelivered returns the error of a write to the caller as an ErrNotDelivered; nil if it
+// succeeded.
+func notDelivered(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Join(ErrNotDelivered, err)
+}
+
 func (e *execution) run(ctx context.Context) error {
 	began := time.Now()
 	for {
@@ -123,7 +135,7 @@
 		if result.done {
 			e.router.recordAnswerTime(e.request.Route.Name, time.Since(began))
 			e.router.startLoadTest(e, slot, result)
-			return nil
+			return result.err
 		}
 		if err := e.prepareRetry(ctx, result); err != nil {
 			return e.finalError(err)
@@ -133,7 +145,7 @@
 
 // An attemptResult is the result of an attempt.
 type attemptResult struct {
-	done         bool // the caller has received the whole answer
+	done         bool // the answer is whole and was written to the caller, unless err says otherwise
 	outcome      placement.Outcome
 	notRun       bool // the request certainly did not run
 	err          error
@@ -329,7 +341,7 @@
 		return e.classifyReadError(ctx, err)
 	}
 	e.firstEventAt = time.Now()
-	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.WriteAnswer(head, body)}
+	return attemptResult{done: true, outcome: placement.Completed, err: notDelivered(e.answerWriter.WriteAnswer(head, body))}
 }
 
 // recordUpstreamFailure stores an upstream's failure, which is forwarded to the
@@ -381,7 +393,7 @@
 			e.router.crashes.markWriting(e)
 		}
 		if err := e.writeEvent(answer.Head(), event); err != nil {
-			return attemptResult{outcome: placement.Canceled, err: err}
+			return attemptResult{outcome: placement.Canceled, err: notDelivered(err)}
 		}
 	}
 }
@@ -407,11 +419,11 @@
 func (e *execution) endStream(head Head) attemptResult {
 	if !e.streamBegun.Load() {
 		if err := e.answerWriter.BeginStream(head); err != nil {
-			return attemptResult{outcome: placement.Canceled, err: err}
+			return attemptResult{outcome: placement.Canceled, err: notDelivered(err)}
 		}
 		e.streamBegun.Store(true)
 	}
-	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.EndStream()}
+	return attemptResult{done: true, outcome: placement.Completed, err: notDelivered(e.answerWriter.EndStream())}
 }
 
 // prepareRetry prepares the next attempt and returns nil, or returns the reason why
@@ -426,6 +438,8 @@
 	}
 	kind := e.request.Route.Kind
 	switch {
+	case errors.Is(result.err, ErrNotDelivered):
+		return result.err // the writer may have ended the context as well
 	case ctx.Err() != nil:
 		return context.Cause(ctx)
 	case result.outcome == placement.Canceled, !result.notRun && !kind.Repeatable(), e.crashedItsUpstream(result):
@@ -462,11 +476,11 @@
 	if e.streamBegun.Load() {
 		return errors.Join(ErrTruncated, err)
 	}
-	if errors.Is(err, context.Canceled) && !errors.Is(err, errStopping) {
+	if errors.Is(err, ErrNotDelivered) || errors.Is(err, context.Canceled) && !errors.Is(err, errStopping) {
 		return err
 	}
 	if e.failure != nil {
-		return e.answerWriter.WriteAnswer(e.failure.head, e.failure.body)
+		return notDelivered(e.answerWriter.WriteAnswer(e.failure.head, e.failure.body))
 	}
 	deadlinePassed := errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded)
 	if !e.mayHaveRun {
