node/exchange: give up on a silent upstream only for an attempt that is certain

What callers saw: streams were cut in the middle, and idempotent requests ended 502, though their upstream was sound and only paused. Cause: mayFollow looked at the retry budget when an attempt was sent, or an event awaited, and the retry was taken when the wait had ended. All attempts at an upstream that pauses counted on the same retries; those that got none, or found no upstream free, had already closed their connection. What may follow was decided on a state that others change. Change: a bounded wait that is over asks (Attempt.GiveUp, http1.Request.GiveUp) before its connection is given up. Only if the deadline, the stop, the verdicts on requests, the budget and the fleet allow another attempt now, its retry is taken and its upstream picked, and the attempt ends; otherwise it goes on waiting and asks again 100 ms later. A wait that goes on no longer ends the writing of a long body either. Probes of verdicts, which nothing may follow, are no longer bounded. The kernel's own bound on silence of the connection (1 s where another attempt may follow as it is sent) cannot be asked and stays.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -42,6 +42,8 @@
 	// read; it fits the socket's send buffer. Larger bodies are written
 	// concurrently.
 	inlineBodyBytes = 16 << 10
+	// giveUpInterval is the time after which Request.GiveUp is asked again.
+	giveUpInterval = 100 * time.Millisecond
 	// maxMismatched is the number of responses to other requests after which a
 	// request fails.
 	maxMismatched = 2
@@ -98,6 +100,10 @@
 	// HeadTimeout bounds the time from the start of writing to the end of the
 	// response head; 0 means no bound.
 	HeadTimeout time.Duration
+	// GiveUp is called when HeadTimeout has passed, or the time of Response.BoundWait. If it
+	// returns false, the wait goes on, and GiveUp is called again later. It is called by the
+	// goroutine that waits; nil means true.
+	GiveUp func() bool
 	// DialTimeout bounds the opening of a connection; 0 means the default of
 	// package tcp.
 	DialTimeout time.Duration
@@ -125,6 +131,7 @@
 	reused        bool
 	usableUntil   time.Time     // when the idle connection expires
 	userTimeout   time.Duration // see Request.UserTimeout
+	giveUp        func() bool   // decides whether a read fails at its deadline; nil means that it does
 	detachContext func() bool   // stops the request's context from closing the connection
 	written       chan struct{} // closed once the body is written, or writing it has failed; nil if it was written inline
 	writeErr      error         // of writing the body; may be read once written is closed
@@ -154,7 +161,7 @@
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
 		EndsWithConn: EndsWithConn(response),
-		body:         response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx}, nil
+		body:         response.Body, connClose: response.Close || !r.echoedBy(response), client: c, conn: cn, ctx: ctx, giveUp: r.GiveUp}, nil
 }
 
 // getConn returns an idle connection or opens a new one.
@@ -176,9 +183,27 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	return &conn{Conn: raw, reader: NewResponseReader(raw, readBufferBytes), address: address}, nil
+	cn := &conn{Conn: raw, address: address}
+	cn.reader = NewResponseReader(cn, readBufferBytes)
+	return cn, nil
 }
 
+// Read implements io.Reader. At its deadline it asks whether to wait on.
+func (cn *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := cn.Conn.Read(p)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || cn.givesUp() {
+			return n, err
+		}
+		if err := cn.SetReadDeadline(time.Now().Add(giveUpInterval)); err != nil {
+			return n, err
+		}
+	}
+}
+
+// givesUp reports whether a wait that has come to its deadline fails.
+func (cn *conn) givesUp() bool { return cn.giveUp == nil || cn.giveUp() }
+
 // takeIdle removes and returns the most recently used idle connection, or nil. It
 // closes connections that have expired, have bytes pending or were closed.
 func (c *Client) takeIdle(address string) *conn {
@@ -288,12 +313,15 @@
 
 // roundTrip writes the request and reads the head of its response.
 func (cn *conn) roundTrip(r *Request) (*http.Response, error) {
+	cn.giveUp = r.GiveUp
+	var deadline time.Time
 	if r.HeadTimeout > 0 {
-		if err := cn.SetDeadline(time.Now().Add(r.HeadTimeout)); err != nil {
-			return nil, err
-		}
+		deadline = time.Now().Add(r.HeadTimeout)
+	}
+	if err := cn.SetReadDeadline(deadline); err != nil {
+		return nil, err
 	}
-	if err := cn.write(r); err != nil {
+	if err := cn.write(r, deadline); err != nil {
 		return nil, err
 	}
 	request := &http.Request{Method: r.Method}
@@ -318,10 +346,13 @@
 }
 
 // write sends the request. It writes a body over inlineBodyBytes in a goroutine,
-// so that the response can be read meanwhile.
-func (cn *conn) write(r *Request) error {
+// so that the response can be read meanwhile; a deadline is then for reading alone.
+func (cn *conn) write(r *Request, deadline time.Time) error {
 	head := appendHead(make([]byte, 0, 1024+len(r.Body)), r)
 	if len(r.Body) <= inlineBodyBytes {
+		if err := cn.SetWriteDeadline(deadline); err != nil {
+			return err
+		}
 		n, err := cn.Write(append(head, r.Body...))
 		cn.sent += int64(n)
 		return err
@@ -378,6 +409,7 @@
 	ctx       context.Context
 	complete  bool
 	deadline  time.Time // for reads; zero means none
+	giveUp    func() bool
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete
@@ -410,6 +442,16 @@
 	if !r.EndsWithConn || r.complete {
 		return nil
 	}
+	for {
+		err := r.awaitReceipt()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || r.conn.givesUp() {
+			return err
+		}
+		r.deadline = time.Now().Add(giveUpInterval)
+	}
+}
+
+func (r *Response) awaitReceipt() error {
 	if err := r.conn.awaitWritten(r.deadline); err != nil {
 		return errors.Wrap(err, "the connection ended before the request was written")
 	}
@@ -423,6 +465,15 @@
 
 // SetReadDeadline sets the deadline for reads; the zero time means none.
 func (r *Response) SetReadDeadline(t time.Time) error {
+	r.conn.giveUp = nil
+	r.deadline = t
+	return r.conn.SetReadDeadline(t)
+}
+
+// BoundWait sets the time at which Request.GiveUp decides whether reads fail; the zero time
+// means none.
+func (r *Response) BoundWait(t time.Time) error {
+	r.conn.giveUp = r.giveUp
 	r.deadline = t
 	return r.conn.SetReadDeadline(t)
 }
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -92,6 +92,10 @@
 	TimeLeft    time.Duration // until the caller's deadline
 	// HeadTimeout bounds the wait for the head of the answer; 0 means TimeLeft.
 	HeadTimeout time.Duration
+	// GiveUp is called when a bounded wait for the head or for an event is over. If it
+	// returns false, the wait goes on, and GiveUp is called again later. It is called by
+	// the goroutine that waits; nil means true.
+	GiveUp func() bool
 	// SilenceTimeout is how long the upstream may acknowledge or read nothing; 0 means the
 	// transport's default.
 	SilenceTimeout time.Duration
@@ -131,7 +135,8 @@
 type Answer interface {
 	Head() Head
 	// NextEvent returns the next whole event of a stream, or io.EOF after the
-	// last event of a complete stream. It waits for at most the gap; 0 means no bound.
+	// last event of a complete stream. It waits for at most the gap, unless
+	// Attempt.GiveUp prolongs that; 0 means no bound.
 	NextEvent(gap time.Duration) (Event, error)
 	// ReadBody returns the whole body of an answer that isn't a stream. A body of
 	// more than limit bytes is an error, and one that does not end within the time; 0
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -71,6 +71,7 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
+	next          *placement.Slot  // of the next attempt, whose retry is spent; see giveUp
 	probe         bool             // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool             // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits   // see traits
@@ -124,8 +125,12 @@
 
 func (e *execution) run(ctx context.Context) error {
 	began := time.Now()
+	defer e.releaseNext()
 	for {
-		slot, err := e.pickUpstream(ctx)
+		slot, err := e.takeNext(), error(nil)
+		if slot == nil {
+			slot, err = e.pickUpstream(ctx)
+		}
 		if err != nil {
 			return e.finalError(err)
 		}
@@ -254,11 +259,7 @@
 	if len(e.models) > 0 {
 		a.Model = e.models[e.modelIndex]
 	}
-	if e.mayFollow() {
-		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
-	} else {
-		a.SilenceTimeout = lastSilenceTimeout
-	}
+	e.boundWaits(a, slot)
 	reading := e.router.demands.begin(e.request.Service)
 	defer reading.end()
 	e.reading = reading
@@ -283,11 +284,71 @@
 	return result
 }
 
+// boundWaits bounds what an attempt waits for, if another may follow it.
+func (e *execution) boundWaits(a *Attempt, slot *placement.Slot) {
+	if !e.mayFollow() {
+		a.SilenceTimeout = lastSilenceTimeout
+		return
+	}
+	a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
+	a.GiveUp = func() bool { return e.giveUp(slot) }
+}
+
 // mayFollow reports whether another attempt may follow the one in progress, so that giving up
 // on its upstream for a pause gains anything.
 func (e *execution) mayFollow() bool {
 	route := e.request.Route
-	return route.Kind.Repeatable() && e.attempts < route.MaxAttempts && e.router.mayRetry(e.request.Service)
+	return !e.probe && route.Kind.Repeatable() && e.attempts < route.MaxAttempts && e.router.mayRetry(e.request.Service)
+}
+
+// giveUp reports whether the attempt in progress is given up because its upstream has been
+// silent for longer than expected. It is not unless the next attempt is certain, with its
+// retry spent and its upstream picked: other requests may have used what there was when
+// the wait began, and an upstream that pauses may go on.
+func (e *execution) giveUp(current *placement.Slot) bool {
+	if e.next != nil {
+		return true
+	}
+	if !e.mayFollow() || time.Until(e.request.Deadline) < minAttemptTime || e.refuseLate() != nil {
+		return false
+	}
+	if found := e.router.crashes.suspicion(e); found.verdict != nil || found.wait {
+		return false
+	}
+	choice := e.versionChoice
+	if e.router.isOnTrial(current) {
+		choice.toNew = false // as for an attempt that has failed
+	}
+	criteria := e.placementCriteria()
+	slot, result := e.router.pick(e.request, criteria, &choice)
+	if result == placement.NoUpstream {
+		criteria.Exclude = nil // all upstreams have had the request
+		slot, _ = e.router.pick(e.request, criteria, &choice)
+	}
+	if slot == nil {
+		return false
+	}
+	e.next = slot
+	if !e.router.spendRetry(e.request.Service) {
+		e.releaseNext()
+		return false
+	}
+	e.versionChoice, e.tried = choice, criteria.Exclude
+	return true
+}
+
+// takeNext returns the slot that giveUp has picked, or nil.
+func (e *execution) takeNext() *placement.Slot {
+	slot := e.next
+	e.next = nil
+	return slot
+}
+
+// releaseNext releases the slot that giveUp has picked if it is not used.
+func (e *execution) releaseNext() {
+	if slot := e.takeNext(); slot != nil {
+		e.router.WithFleet(func(now time.Time, f *placement.Fleet) { f.Release(now, slot, placement.Canceled) })
+	}
 }
 
 // gapTimeout returns how long a stream may be silent before it is continued at another
@@ -454,7 +515,7 @@
 		e.attempts--
 		return nil
 	}
-	if !e.router.spendRetry(e.request.Service) {
+	if !e.takeRetry() {
 		return result.err
 	}
 	e.reconsiderModel()
@@ -465,6 +526,11 @@
 	return nil
 }
 
+// takeRetry takes a retry of the budget unless giveUp has, and reports whether there was one.
+func (e *execution) takeRetry() bool {
+	return e.next != nil || e.router.spendRetry(e.request.Service)
+}
+
 // notSent reports whether no byte of the request was sent.
 func notSent(result attemptResult) bool {
 	return result.notRun && (result.outcome == placement.Unreachable || result.outcome == placement.Closed)
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -210,6 +210,14 @@
 	return slot, pickResult
 }
 
+// isOnTrial reports whether an upstream has the version that a roll-out is to.
+func (r *Router) isOnTrial(s *placement.Slot) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.trials[s.Upstream.Service]
+	return t != nil && s.Upstream.Version == t.Order.To
+}
+
 // pickWithoutTrial picks an upstream of a service without an order. If an order was
 // withdrawn, or lost by the store, before it was completed, its version is used only if
 // there is no other.
