node/exchange: a stopped attempt is not taken for a caller that left

What callers saw: no answer, on a connection that was aborted while they waited. Cause: finalError recognised a caller that has left by an error that is context.Canceled. An attempt that is ended for another reason while it connects (a verdict that its request crashes upstreams) has that error too: net reports the end of any context so. Change: the caller's own context tells whether it has left (ErrCallerLeft). A canceled attempt reports the cause of its context. Measured: TestStoppedAttemptIsNotTakenForCallerThatLeft, before: 'caller waits: left_test.go:50: false != true' (no refusal; the test had ErrCallerLeft, which nothing returned). After: refused as not run.

--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"context"
 	"math"
 	"strconv"
 	"time"
@@ -93,7 +92,7 @@
 	case err == nil:
 	case errors.Is(err, ErrNotDelivered):
 		outcome = "not-delivered"
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, ErrCallerLeft):
 		outcome = "caller-left"
 	case errors.Is(err, ErrTruncated):
 		outcome = "cut"
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -60,6 +60,7 @@
 	router       *Router
 	request      *Request
 	answerWriter AnswerWriter
+	caller       <-chan struct{} // closed once the caller has left
 
 	models        []string // that may answer, smallest first; empty if the caller names one
 	modelIndex    int      // index in models of the one to ask
@@ -90,10 +91,10 @@
 // errDeadline is the cause of contexts that end at the caller's deadline.
 var errDeadline = errors.New("the caller's deadline has passed")
 
-// Run answers a request. If it returns an error that wraps neither ErrTruncated nor
-// ErrNotDelivered, nothing of an answer has been sent to the caller.
+// Run answers a request. If it returns an error that wraps none of ErrTruncated,
+// ErrNotDelivered and ErrCallerLeft, nothing of an answer has been sent to the caller.
 func (r *Router) Run(ctx context.Context, q *Request, out AnswerWriter) error {
-	e := &execution{router: r, request: q, answerWriter: out, lastEventID: q.LastEventID}
+	e := &execution{router: r, request: q, answerWriter: out, lastEventID: q.LastEventID, caller: ctx.Done()}
 	if !q.CallerModel {
 		e.models = q.Route.Models
 	}
@@ -114,6 +115,9 @@
 // ErrNotDelivered reports that the answer cannot be written to the caller.
 var ErrNotDelivered = errors.New("the answer cannot be written to the caller")
 
+// ErrCallerLeft reports that the caller has left before the answer was complete.
+var ErrCallerLeft = errors.New("the caller has left")
+
 // notDelivered returns the error of a write to the caller as an ErrNotDelivered; nil if it
 // succeeded.
 func notDelivered(err error) error {
@@ -368,6 +372,7 @@
 	case ctx.Err() != nil:
 		result.outcome = placement.Canceled
 		result.notRun = errors.As(err, &unreachable)
+		result.err = context.Cause(ctx)
 	case errors.As(err, &unreachable):
 		result.outcome = placement.Unreachable
 		result.notRun = true
@@ -536,13 +541,28 @@
 	return result.notRun && (result.outcome == placement.Unreachable || result.outcome == placement.Closed)
 }
 
+// callerLeft reports whether the caller has left. Errors of attempts do not tell: one that is
+// ended by something else may look the same.
+func (e *execution) callerLeft() bool {
+	select {
+	case <-e.caller:
+		return true
+	default:
+		return false
+	}
+}
+
 // finalError returns the error of a request that was not answered. If an upstream
 // reported a failure, it forwards that to the caller instead.
 func (e *execution) finalError(err error) error {
-	if e.streamBegun.Load() {
-		return errors.Join(ErrTruncated, err)
+	left := e.callerLeft()
+	if left {
+		err = errors.Join(ErrCallerLeft, err)
 	}
-	if errors.Is(err, ErrNotDelivered) || errors.Is(err, context.Canceled) && !errors.Is(err, errStopping) {
+	switch {
+	case e.streamBegun.Load():
+		return errors.Join(ErrTruncated, err)
+	case left, errors.Is(err, ErrNotDelivered):
 		return err
 	}
 	if e.failure != nil {
