io/http1: what has arrived is read before an upstream counts as silent

What callers saw: a retry, or a cut stream, after this instance, not the upstream, was held up. Cause: a read fails at its deadline even if data has arrived. A process that was held up beyond the bound of a wait (a large change of the configuration, little processor time) found the deadlines passed before it looked at its sockets, and gave up on upstreams that had answered. Change: when a bounded wait is over, what has arrived is read for 5 ms before GiveUp is asked. Bounds without GiveUp are unchanged. Measured: TestArrivedDataIsNoSilence, before: 'response of 127.0.0.1:40815 is missing or incomplete (read tcp ...: i/o timeout): the request may have run'; after: read whole, GiveUp not asked.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -44,6 +44,9 @@
 	inlineBodyBytes = 16 << 10
 	// giveUpInterval is the time after which Request.GiveUp is asked again.
 	giveUpInterval = 100 * time.Millisecond
+	// lastLookTime is how long data is read after a wait is over, before Request.GiveUp is
+	// asked: it may have arrived while this process was held up.
+	lastLookTime = 5 * time.Millisecond
 	// maxMismatched is the number of responses to other requests after which a
 	// request fails.
 	maxMismatched = 2
@@ -132,6 +135,7 @@
 	usableUntil   time.Time     // when the idle connection expires
 	userTimeout   time.Duration // see Request.UserTimeout
 	giveUp        func() bool   // decides whether a read fails at its deadline; nil means that it does
+	overdue       bool          // the wait is over, and what had arrived is being read
 	detachContext func() bool   // stops the request's context from closing the connection
 	written       chan struct{} // closed once the body is written, or writing it has failed; nil if it was written inline
 	writeErr      error         // of writing the body; may be read once written is closed
@@ -192,10 +196,17 @@
 func (cn *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := cn.Conn.Read(p)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || cn.givesUp() {
+		if cn.giveUp == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if err := cn.SetReadDeadline(time.Now().Add(giveUpInterval)); err != nil {
+		wait := giveUpInterval
+		switch {
+		case !cn.overdue:
+			cn.overdue, wait = true, lastLookTime
+		case cn.giveUp():
+			return n, err
+		}
+		if err := cn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return n, err
 		}
 	}
@@ -313,7 +324,7 @@
 
 // roundTrip writes the request and reads the head of its response.
 func (cn *conn) roundTrip(r *Request) (*http.Response, error) {
-	cn.giveUp = r.GiveUp
+	cn.giveUp, cn.overdue = r.GiveUp, false
 	var deadline time.Time
 	if r.HeadTimeout > 0 {
 		deadline = time.Now().Add(r.HeadTimeout)
@@ -473,7 +484,7 @@
 // BoundWait sets the time at which Request.GiveUp decides whether reads fail; the zero time
 // means none.
 func (r *Response) BoundWait(t time.Time) error {
-	r.conn.giveUp = r.giveUp
+	r.conn.giveUp, r.conn.overdue = r.giveUp, false
 	r.deadline = t
 	return r.conn.SetReadDeadline(t)
 }
--- a/io/http1/wait_test.go
+++ b/io/http1/wait_test.go
@@ -67,3 +67,29 @@
 		})
 	}
 }
+
+// TestArrivedDataIsNoSilence guards against a wait that is given up although the data has
+// arrived: the process was held up beyond its bound.
+func TestArrivedDataIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	const held = 50 * time.Millisecond
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, responseText(readRequestID(r), string(make([]byte, 4*readBufferBytes))))
+	})
+	var client Client
+	asked := 0
+	q := newRequest("1")
+	q.GiveUp = func() bool {
+		asked++
+		return true
+	}
+	response, err := client.Do(t.Context(), address, q)
+	is.NoErr(err)
+	defer response.Close()
+	is.NoErr(response.BoundWait(time.Now().Add(held / 2)))
+	time.Sleep(held)
+	body, err := io.ReadAll(response)
+	is.NoErr(err)
+	is.Equal(len(body), 4*readBufferBytes)
+	is.Equal(asked, 0)
+}
