node/exchange: an answer is dropped for a larger model only if an upstream takes the request

What callers saw: 502 on a request that a smaller model had answered. Cause: the decision to ask a larger model looked at confidence, time and the retry budget, and dropped the answer before an upstream was picked for the next. Where none was free then, or the instance was about to stop, the request failed. The same class as the waits: giving up what there is for an attempt that is not certain. Change: the upstream is picked first (reserveNext, as for a wait that is over); if there is none, the answer that has come is delivered, with the reason no-upstream.

--- a/core/cascade/escalator.go
+++ b/core/cascade/escalator.go
@@ -174,6 +174,7 @@
 	EndsLate   Reason = "ends-late"   // the larger model's answer may not end before the deadline
 	Pauses     Reason = "pauses"      // the larger model pauses too long between events
 	NoBudget   Reason = "no-budget"   // retries are used up
+	NoUpstream Reason = "no-upstream" // no upstream would take the request now
 )
 
 // A Decision says whether a larger model is asked, and what decided.
--- a/node/exchange/cascade.go
+++ b/node/exchange/cascade.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// reserveLarger picks the upstream of the larger model that was chosen. If there is none, the
+// answer that has come is delivered.
+func (e *execution) reserveLarger() bool {
+	index, tried, choice := e.modelIndex, e.tried, e.versionChoice
+	e.useLargerModel()
+	reserved := e.reserveNext()
+	e.modelIndex = index // until the attempt in progress has ended
+	if !reserved {
+		e.tried, e.versionChoice = tried, choice
+		e.decision.Model, e.decision.Reason = "", cascade.NoUpstream
+	}
+	return reserved
+}
+
 // useLargerModel makes the larger model that was chosen answer the next attempt.
 func (e *execution) useLargerModel() {
 	e.modelIndex = slices.Index(e.models, e.decision.Model)
--- a/node/exchange/cascade_test.go
+++ b/node/exchange/cascade_test.go
@@ -126,3 +126,46 @@
 		is.Equal(larger, 0)
 	})
 }
+
+// TestAnswerIsNotDroppedForOneThatCannotFollow guards against requests that fail although a
+// smaller model has answered them: a larger one was to answer, and no upstream takes the request.
+func TestAnswerIsNotDroppedForOneThatCannotFollow(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration // for which the only upstream wants no other request
+		stop  time.Duration // after which the instance ends; 0 for never
+		asked int
+		want  int // confidence of the answer
+	}{
+		{name: "larger model answers", asked: 2, want: 90},
+		{name: "no upstream is free", pause: time.Minute, asked: 1, want: 30},
+		{name: "instance stops", stop: time.Second, asked: 1, want: 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRouter(1)
+				defer r.Log.Close()
+				r.SetUpstreamsKnown()
+				asked := 0
+				r.Transport = contextTransport(func(ctx context.Context, a *Attempt) (Answer, error) {
+					asked++
+					answer := &pacedAnswer{ctx: ctx, head: Head{Status: http.StatusOK, Confidence: 30, Pause: tt.pause}, gap: 20 * time.Millisecond, events: 5}
+					if a.Model == "large" {
+						answer.head.Confidence = 90
+					}
+					if tt.stop > 0 {
+						r.StopAt(time.Now().Add(tt.stop))
+					}
+					return answer, nil
+				})
+				route := &routing.Route{Name: "report", Kind: routing.ResumableStream, MaxAttempts: 3, LatencyObjective: time.Second, GapTarget: time.Second, Models: []string{"small", "large"}}
+				out := &confidenceWriter{}
+				is.NoErr(r.Run(t.Context(), &Request{ID: "1", Route: route, Service: "s", Method: http.MethodPost, Target: "/", Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second)}, out))
+				is.Equal(out.confidence, tt.want)
+				is.Equal(asked, tt.asked)
+			})
+		})
+	}
+}
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -313,32 +313,37 @@
 	if e.next != nil {
 		return true
 	}
-	if !e.mayFollow() || time.Until(e.request.Deadline) < minAttemptTime || e.refuseLate() != nil {
-		return false
-	}
-	if found := e.router.crashes.suspicion(e); found.verdict != nil || found.wait {
+	if !e.mayFollow() {
 		return false
 	}
-	choice := e.versionChoice
+	choice, tried := e.versionChoice, e.tried
 	if e.router.isOnTrial(current) {
-		choice.toNew = false // as for an attempt that has failed
+		e.versionChoice.toNew = false // as for an attempt that has failed
 	}
-	criteria := e.placementCriteria()
-	slot, result := e.router.pick(e.request, criteria, &choice)
-	if result == placement.NoUpstream {
-		criteria.Exclude = nil // all upstreams have had the request
-		slot, _ = e.router.pick(e.request, criteria, &choice)
+	if e.reserveNext() && e.router.spendRetry(e.request.Service) {
+		return true
 	}
-	if slot == nil {
+	e.releaseNext()
+	e.versionChoice, e.tried = choice, tried
+	return false
+}
+
+// reserveNext picks the upstream of an attempt that is to follow the one in progress, if
+// the request would be sent now.
+func (e *execution) reserveNext() bool {
+	if time.Until(e.request.Deadline) < minAttemptTime || e.refuseLate() != nil {
 		return false
 	}
-	e.next = slot
-	if !e.router.spendRetry(e.request.Service) {
-		e.releaseNext()
+	if found := e.router.crashes.suspicion(e); !e.probe && (found.verdict != nil || found.wait) {
 		return false
 	}
-	e.versionChoice, e.tried = choice, criteria.Exclude
-	return true
+	slot, result := e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
+	if result == placement.NoUpstream && len(e.tried) > 0 {
+		e.tried = nil // all upstreams have had the request
+		slot, _ = e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
+	}
+	e.next = slot
+	return slot != nil
 }
 
 // takeNext returns the slot that giveUp has picked, or nil.
@@ -435,7 +440,7 @@
 // answer instead.
 func (e *execution) relayStream(ctx context.Context, answer Answer, slot *placement.Slot) attemptResult {
 	e.recordStep(answer.Head())
-	if e.shouldEscalate(answer.Head()) {
+	if e.shouldEscalate(answer.Head()) && e.reserveLarger() {
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
 	meter := newSpanMeter(e, slot)
