io/service: a call that cannot be sent again outlasts a pause of its upstream

What callers saw: a call of their own interface that may run once ended with an unknown outcome, though its service was sound and only read nothing of a large body for over a second. Cause: the connection had the default of package tcp, 1 s of data that is not acknowledged or read, which is meant for looking elsewhere. On the platform's path it was lengthened where nothing can follow; here it was not. Change: 5 s for calls that are not idempotent, as there. Measured: TestCallOutlastsPauseBeforeItIsRead, before: 'response of upstream is missing or incomplete (... read: connection timed out): the request may have run' after 1.27 s; after: answered. Left as they are: io/engine (completions may be sent again), node/handover.go.

--- a/io/service/client.go
+++ b/io/service/client.go
@@ -32,6 +32,10 @@
 	timeoutHeader    = "Banyanyard-Timeout-Ms" // milliseconds left until the caller's deadline
 )
 
+// onlyAttemptSilence is how long the service may acknowledge or read nothing of a call that
+// cannot be sent again. A sound one may pause.
+const onlyAttemptSilence = 5 * time.Second
+
 // forwardedHeaders are the response headers that are passed on to callers.
 var forwardedHeaders = []string{"Content-Type", "Etag", "Last-Modified", "Location", "Cache-Control", "Retry-After"}
 
@@ -119,6 +123,9 @@
 		}
 	}
 	r.Header = append(r.Header, http1.Field{Name: requestIDHeader, Value: call.AttemptID})
+	if !call.Idempotent {
+		r.UserTimeout = onlyAttemptSilence
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		r.Header = append(r.Header, http1.Field{Name: timeoutHeader, Value: strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)})
 	}
