io/http1: a wait that goes on is not ended by the kernel at once

What callers saw: 502 for a request that may be repeated, whose sound upstream read nothing of a large body for over a second, where no retry was to be had. Cause: the connection of an attempt that another might follow bears 1 s of silence. The wait now goes on where none can follow in the end, but the kernel did not know. Change: a wait that goes on lengthens the silence that its connection bears to 5 s, as for an attempt that nothing may follow. Measured: TestUpstreamThatPausesBeforeItReadsIsWaitedFor/wait_goes_on, before: 'http1_test.go:305: false != true' after 1.29 s; after: answered. Conclusion: still open where the kernel's 1 s comes before the bound of the wait (objectives over 0.5 s).

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -47,6 +47,9 @@
 	// lastLookTime is how long data is read after a wait is over, before Request.GiveUp is
 	// asked: it may have arrived while this process was held up.
 	lastLookTime = 5 * time.Millisecond
+	// prolongedUserTimeout is the least Request.UserTimeout of a wait that goes on although
+	// it is over.
+	prolongedUserTimeout = 5 * time.Second
 	// maxMismatched is the number of responses to other requests after which a
 	// request fails.
 	maxMismatched = 2
@@ -205,6 +208,8 @@
 			cn.overdue, wait = true, lastLookTime
 		case cn.giveUp():
 			return n, err
+		case cn.setUserTimeout(max(cn.userTimeout, prolongedUserTimeout)) != nil:
+			return n, err
 		}
 		if err := cn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return n, err
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -285,10 +285,12 @@
 	tests := []struct {
 		name        string
 		userTimeout time.Duration
+		headTimeout time.Duration
 		answered    bool
 	}{
 		{name: "waited for", userTimeout: 2 * pause, answered: true},
 		{name: "given up", userTimeout: 0},
+		{name: "wait goes on", userTimeout: 0, headTimeout: pause / 6, answered: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -296,7 +298,10 @@
 			is := is.New(t)
 			var client Client
 			t.Cleanup(client.Close)
-			response, err := client.Do(t.Context(), l.Addr().String(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body, UserTimeout: tt.userTimeout})
+			response, err := client.Do(t.Context(), l.Addr().String(), &Request{
+				Method: http.MethodPost, Target: "/", Host: "h", Body: body, UserTimeout: tt.userTimeout,
+				HeadTimeout: tt.headTimeout, GiveUp: func() bool { return false },
+			})
 			is.Equal(err == nil, tt.answered)
 			if err != nil {
 				return
