--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -61,6 +61,7 @@
 	router       *Router
 	request      *Request
 	answerWriter AnswerWriter
+	caller       <-chan struct{} // closed once the caller has left
 
 	models        []string // that may answer, smallest first; empty if the caller names one
 	modelIndex    int      // index in models of the one to ask
@@ -72,6 +73,7 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
+	next          *placement.Slot  // of the next attempt, whose retry is spent; see giveUp
 	probe         bool             // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool             // an upstream crashed when it was about to write the answer
 	cachedTraits  suspect.Traits   // see traits
@@ -90,10 +92,10 @@
 // errDeadline is the cause of contexts that end at the caller's deadline.
 var errDeadline = errors.New("the caller's deadline has passed")
 
-// Run answers a request. If it returns an error that doesn't wrap ErrTruncated,
-// nothing of an answer has been sent to the caller, or sending it failed.
+// Run answers a request. If it returns an error that wraps none of ErrTruncated,
+// ErrNotDelivered and ErrCallerLeft, nothing of an answer has been sent to the caller.
 func (r *Router) Run(ctx context.Context, q *Request, out AnswerWriter) error {
-	e := &execution{router: r, request: q, answerWriter: out, lastEventID: q.LastEventID}
+	e := &execution{router: r, request: q, answerWriter: out, lastEventID: q.LastEventID, caller: ctx.Done()}
 	if !q.CallerModel {
 		e.models = q.Route.Models
 	}
@@ -111,10 +113,29 @@
 // be completed.
 var ErrTruncated = errors.New("the answer was cut off after part of it had been sent")
 
+// ErrNotDelivered reports that the answer cannot be written to the caller.
+var ErrNotDelivered = errors.New("the answer cannot be written to the caller")
+
+// ErrCallerLeft reports that the caller has left before the answer was complete.
+var ErrCallerLeft = errors.New("the caller has left")
+
+// notDelivered returns the error of a write to the caller as an ErrNotDelivered; nil if it
+// succeeded.
+func notDelivered(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Join(ErrNotDelivered, err)
+}
+
 func (e *execution) run(ctx context.Context) error {
 	began := time.Now()
+	defer e.releaseNext()
 	for {
-		slot, err := e.pickUpstream(ctx)
+		slot, err := e.takeNext(), error(nil)
+		if slot == nil {
+			slot, err = e.pickUpstream(ctx)
+		}
 		if err != nil {
 			return e.finalError(err)
 		}
@@ -124,7 +145,7 @@
 		if result.done {
 			e.router.recordAnswerTime(e.request.Route.Name, time.Since(began))
 			e.router.startLoadTest(e, slot, result)
-			return nil
+			return result.err
 		}
 		if err := e.prepareRetry(ctx, result); err != nil {
 			return e.finalError(err)
@@ -134,7 +155,7 @@
 
 // An attemptResult is the result of an attempt.
 type attemptResult struct {
-	done         bool // the caller has received the whole answer
+	done         bool // the answer is whole and was written to the caller, unless err says otherwise
 	outcome      placement.Outcome
 	notRun       bool // the request certainly did not run
 	err          error
@@ -278,19 +299,80 @@
 	if len(e.models) > 0 {
 		a.Model = e.models[e.modelIndex]
 	}
-	if e.mayFollow() {
-		a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
-	} else {
+	e.boundWaits(a, slot)
+	return a
+}
+
+// boundWaits bounds what an attempt waits for, if another may follow it.
+func (e *execution) boundWaits(a *Attempt, slot *placement.Slot) {
+	if !e.mayFollow() {
 		a.SilenceTimeout = lastSilenceTimeout
+		return
 	}
-	return a
+	a.HeadTimeout = min(a.TimeLeft, e.router.headTimeout(e.request.Service, e.attemptKind(), e.request.Route.LatencyObjective))
+	a.GiveUp = func() bool { return e.giveUp(slot) }
 }
 
 // mayFollow reports whether another attempt may follow the one in progress, so that giving up
 // on its upstream for a pause gains anything.
 func (e *execution) mayFollow() bool {
 	route := e.request.Route
-	return route.Kind.Repeatable() && e.attempts < route.MaxAttempts && e.router.mayRetry(e.request.Service)
+	return !e.probe && route.Kind.Repeatable() && e.attempts < route.MaxAttempts && e.router.mayRetry(e.request.Service)
+}
+
+// giveUp reports whether the attempt in progress is given up because its upstream has been
+// silent for longer than expected. It is not unless the next attempt is certain, with its
+// retry spent and its upstream picked: other requests may have used what there was when
+// the wait began, and an upstream that pauses may go on.
+func (e *execution) giveUp(current *placement.Slot) bool {
+	if e.next != nil {
+		return true
+	}
+	if !e.mayFollow() {
+		return false
+	}
+	choice, tried := e.versionChoice, e.tried
+	if e.router.isOnTrial(current) {
+		e.versionChoice.toNew = false // as for an attempt that has failed
+	}
+	if e.reserveNext() && e.router.spendRetry(e.request.Service) {
+		return true
+	}
+	e.releaseNext()
+	e.versionChoice, e.tried = choice, tried
+	return false
+}
+
+// reserveNext picks the upstream of an attempt that is to follow the one in progress, if
+// the request would be sent now.
+func (e *execution) reserveNext() bool {
+	if time.Until(e.request.Deadline) < minAttemptTime || e.refuseLate() != nil {
+		return false
+	}
+	if found := e.router.crashes.suspicion(e); !e.probe && (found.verdict != nil || found.wait) {
+		return false
+	}
+	slot, result := e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
+	if result == placement.NoUpstream && len(e.tried) > 0 {
+		e.tried = nil // all upstreams have had the request
+		slot, _ = e.router.pick(e.request, e.placementCriteria(), &e.versionChoice)
+	}
+	e.next = slot
+	return slot != nil
+}
+
+// takeNext returns the slot that giveUp has picked, or nil.
+func (e *execution) takeNext() *placement.Slot {
+	slot := e.next
+	e.next = nil
+	return slot
+}
+
+// releaseNext releases the slot that giveUp has picked if it is not used.
+func (e *execution) releaseNext() {
+	if slot := e.takeNext(); slot != nil {
+		e.router.WithFleet(func(now time.Time, f *placement.Fleet) { f.Release(now, slot, placement.Canceled) })
+	}
 }
 
 // gapTimeout returns how long a stream may be silent before it is continued at another
@@ -311,6 +393,7 @@
 	case ctx.Err() != nil:
 		result.outcome = placement.Canceled
 		result.notRun = errors.As(err, &unreachable)
+		result.err = context.Cause(ctx)
 	case errors.As(err, &refused):
 		result.outcome = placement.Unsent
 		result.notRun = true
@@ -348,7 +431,7 @@
 		return e.classifyReadError(ctx, err)
 	}
 	e.firstEventAt = time.Now()
-	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.WriteAnswer(head, body)}
+	return attemptResult{done: true, outcome: placement.Completed, err: notDelivered(e.answerWriter.WriteAnswer(head, body))}
 }
 
 // recordUpstreamFailure stores an upstream's failure, which is forwarded to the
@@ -376,7 +459,7 @@
 // answer instead.
 func (e *execution) relayStream(ctx context.Context, answer Answer, slot *placement.Slot) attemptResult {
 	e.recordStep(answer.Head())
-	if e.shouldEscalate(answer.Head()) {
+	if e.shouldEscalate(answer.Head()) && e.reserveLarger() {
 		return attemptResult{outcome: placement.Completed, escalate: true, err: errors.New("escalated to a larger model")}
 	}
 	meter := newSpanMeter(e, slot)
@@ -400,7 +483,7 @@
 			e.router.crashes.markWriting(e)
 		}
 		if err := e.writeEvent(answer.Head(), event); err != nil {
-			return attemptResult{outcome: placement.Canceled, err: err}
+			return attemptResult{outcome: placement.Canceled, err: notDelivered(err)}
 		}
 	}
 }
@@ -426,11 +509,11 @@
 func (e *execution) endStream(head Head) attemptResult {
 	if !e.streamBegun.Load() {
 		if err := e.answerWriter.BeginStream(head); err != nil {
-			return attemptResult{outcome: placement.Canceled, err: err}
+			return attemptResult{outcome: placement.Canceled, err: notDelivered(err)}
 		}
 		e.streamBegun.Store(true)
 	}
-	return attemptResult{done: true, outcome: placement.Completed, err: e.answerWriter.EndStream()}
+	return attemptResult{done: true, outcome: placement.Completed, err: notDelivered(e.answerWriter.EndStream())}
 }
 
 // prepareRetry prepares the next attempt and returns nil, or returns the reason why
@@ -445,6 +528,8 @@
 	}
 	kind := e.request.Route.Kind
 	switch {
+	case errors.Is(result.err, ErrNotDelivered):
+		return result.err // the writer may have ended the context as well
 	case ctx.Err() != nil:
 		return context.Cause(ctx)
 	case result.outcome == placement.Canceled, !result.notRun && !kind.Repeatable(), e.crashedItsUpstream(result):
@@ -457,13 +542,10 @@
 	if notSent(result) {
 		// No upstream received anything, so the attempt doesn't count.
 		e.attempts--
-		if result.outcome == placement.Unsent {
-			e.tried = e.tried[:len(e.tried)-1]
-			e.router.avoidPeer(result.detour.Peer.ID)
-		}
+		e.leaveDetour(result)
 		return nil
 	}
-	if !e.router.spendRetry(e.request.Service) {
+	if !e.takeRetry() {
 		return result.err
 	}
 	e.reconsiderModel()
@@ -474,22 +556,52 @@
 	return nil
 }
 
+// leaveDetour lets the next attempt go to the same upstream through another instance, if it was
+// the instance that did not send this one.
+func (e *execution) leaveDetour(result attemptResult) {
+	if result.outcome != placement.Unsent {
+		return
+	}
+	e.tried = e.tried[:len(e.tried)-1]
+	e.router.avoidPeer(result.detour.Peer.ID)
+}
+
+// takeRetry takes a retry of the budget unless giveUp has, and reports whether there was one.
+func (e *execution) takeRetry() bool {
+	return e.next != nil || e.router.spendRetry(e.request.Service)
+}
+
 // notSent reports whether no byte of the request was sent.
 func notSent(result attemptResult) bool {
 	return result.notRun && (result.outcome == placement.Unreachable || result.outcome == placement.Closed || result.outcome == placement.Unsent)
 }
 
+// callerLeft reports whether the caller has left. Errors of attempts do not tell: one that is
+// ended by something else may look the same.
+func (e *execution) callerLeft() bool {
+	select {
+	case <-e.caller:
+		return true
+	default:
+		return false
+	}
+}
+
 // finalError returns the error of a request that was not answered. If an upstream
 // reported a failure, it forwards that to the caller instead.
 func (e *execution) finalError(err error) error {
-	if e.streamBegun.Load() {
-		return errors.Join(ErrTruncated, err)
+	left := e.callerLeft()
+	if left {
+		err = errors.Join(ErrCallerLeft, err)
 	}
-	if errors.Is(err, context.Canceled) && !errors.Is(err, errStopping) {
+	switch {
+	case e.streamBegun.Load():
+		return errors.Join(ErrTruncated, err)
+	case left, errors.Is(err, ErrNotDelivered):
 		return err
 	}
 	if e.failure != nil {
-		return e.answerWriter.WriteAnswer(e.failure.head, e.failure.body)
+		return notDelivered(e.answerWriter.WriteAnswer(e.failure.head, e.failure.body))
 	}
 	deadlinePassed := errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded)
 	if !e.mayHaveRun {
