node/exchange: the stand-in of a group of instances has no data races

Change: all coordinators exist before one runs, and the rest is guarded. What is checked is the same.

--- a/node/exchange/loadtest_test.go
+++ b/node/exchange/loadtest_test.go
@@ -116,7 +116,7 @@
 					g := newBoundedRolloutGroup(t, 7, seed, slack)
 					u := &loadedUpstreams{failing: tt.failing, random: rand.New(rand.NewPCG(seed, 9)), running: map[string]int{}, byID: map[string]map[string]bool{}}
 					failed := callAtRandom(g, u, 24, tt.copyable)
-					is.Equal(g.record.State, tt.want)
+					is.Equal(g.currentRecord().State, tt.want)
 					is.True(float64(u.new) <= 0.15*float64(u.all)+slack) // the bound on exposure
 					is.True(failed <= 3)                                 // no caller gets the failure of a copy
 					for _, upstreams := range u.byID {
--- a/node/exchange/records_test.go
+++ b/node/exchange/records_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,12 +23,13 @@
 // Messages between them take time, and those of an isolated instance are lost.
 type rolloutGroup struct {
 	coordinators []*RolloutCoordinator
-	random       *rand.Rand
-	isolated     int // index of the instance whose messages are lost; -1 for none
-	refused      int // index of the instance whose writes the store refuses; -1 for none
 
-	mu     sync.Mutex
-	record RolloutRecord // guarded by mu
+	mu       sync.Mutex
+	random   *rand.Rand    // guarded by mu
+	isolated int           // index of the instance whose messages are lost; -1 for none; guarded by mu
+	refused  int           // index of the instance whose writes the store refuses; -1 for none; guarded by mu
+	silenced bool          // what is published is lost; guarded by mu
+	record   RolloutRecord // guarded by mu
 }
 
 const (
@@ -64,26 +66,59 @@
 		c.SetMembers(members)
 		r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 7, Duration: groupOrderDuration})
 		g.coordinators = append(g.coordinators, c)
+	}
+	for _, c := range g.coordinators {
 		go c.Run(ctx)
 	}
 	return g
 }
 
-func (g *rolloutGroup) delay() time.Duration {
+func (g *rolloutGroup) delay() time.Duration { return g.upTo(maxGroupDelay) }
+
+// upTo returns a random time below a maximum.
+func (g *rolloutGroup) upTo(maximum time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(g.random.Int64N(int64(maximum)))
+}
+
+// pickInstance returns the index of a random instance.
+func (g *rolloutGroup) pickInstance() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.IntN(len(g.coordinators))
+}
+
+// set changes the group.
+func (g *rolloutGroup) set(change func(g *rolloutGroup)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g)
+}
+
+// currentRecord returns the record.
+func (g *rolloutGroup) currentRecord() RolloutRecord {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(g.random.Int64N(int64(maxGroupDelay)))
+	return g.record
+}
+
+// loses reports whether a message between two instances is lost.
+func (g *rolloutGroup) loses(from, to int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return from == g.isolated || to == g.isolated
 }
 
 // Write implements RecordStore.
 func (m groupMember) Write(_ context.Context, service string, r RolloutRecord) error {
 	g := m.group
 	time.Sleep(g.delay())
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if m.index == g.refused {
 		return errors.New("refused")
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.record.Version != r.Version {
 		return errors.New("another version is stored")
 	}
@@ -113,24 +148,25 @@
 }
 
 func (m groupMember) Publish(_ context.Context, e gossip.Entry, _ bool) {
+	silenced := false
+	m.group.set(func(g *rolloutGroup) { silenced = g.silenced })
 	for i, c := range m.group.coordinators {
-		if i != m.index && m.index != m.group.isolated && i != m.group.isolated {
+		if i != m.index && !silenced && !m.group.loses(m.index, i) {
 			time.AfterFunc(m.group.delay(), func() { c.HandleEntry(e) })
 		}
 	}
 }
 
 func (m groupMember) Report(_ context.Context, address string, e gossip.Entry) (gossip.Entry, error) {
-	if m.index == m.group.isolated || address == fmt.Sprint(m.group.isolated) {
+	to := slices.IndexFunc(m.group.coordinators, func(c *RolloutCoordinator) bool { return c.Instance == address })
+	if m.group.loses(m.index, to) {
 		return gossip.Entry{}, errors.New("lost")
 	}
 	time.Sleep(m.group.delay())
-	for _, c := range m.group.coordinators {
-		if c.Instance == address {
-			return c.HandleReport(e), nil
-		}
+	if to < 0 {
+		return gossip.Entry{}, errors.New("no such instance")
 	}
-	return gossip.Entry{}, errors.New("no such instance")
+	return m.group.coordinators[to].HandleReport(e), nil
 }
 
 // TestRecordDecidesBetweenStopAndCompletion lets an instance stop a trial about when others
@@ -141,18 +177,20 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			g := newRolloutGroup(t, 5, seed)
-			time.Sleep(groupOrderDuration - 2*time.Second + time.Duration(g.random.Int64N(int64(3*time.Second))))
+			time.Sleep(groupOrderDuration - 2*time.Second + g.upTo(3*time.Second))
+			stopper := 0
 			if seed%2 == 0 {
-				g.isolated = g.random.IntN(5)
+				stopper = g.pickInstance()
+				g.set(func(g *rolloutGroup) { g.isolated = stopper })
 			}
-			stopper := max(g.isolated, 0)
 			g.stop(stopper)
 			time.Sleep(10 * time.Second)
-			is.True(g.record.State != trial.Running)
+			state := g.currentRecord().State
+			is.True(state != trial.Running)
 			for _, c := range g.coordinators {
-				is.Equal(trialState(c.Router, "s"), g.record.State.String())
+				is.Equal(trialState(c.Router, "s"), state.String())
 				slot, _ := c.Router.pick(&Request{Service: "s"}, placement.Criteria{Service: "s"}, &versionChoice{})
-				is.Equal(slot.Upstream.Version == "v2", g.record.State == trial.Completed)
+				is.Equal(slot.Upstream.Version == "v2", state == trial.Completed)
 			}
 		})
 	}
@@ -165,22 +203,15 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			g := newRolloutGroup(t, 5, seed)
-			for _, c := range g.coordinators {
-				c.Peers = reportsOnly{c.Peers.(groupMember)}
-			}
+			g.set(func(g *rolloutGroup) { g.silenced = true })
 			time.Sleep(groupOrderDuration - time.Second - maxGroupDelay)
-			g.stop(g.random.IntN(5))
+			g.stop(g.pickInstance())
 			time.Sleep(10 * time.Second)
-			is.Equal(g.record.State, trial.Stopped)
+			is.Equal(g.currentRecord().State, trial.Stopped)
 		})
 	}
 }
 
-// reportsOnly loses what is published.
-type reportsOnly struct{ groupMember }
-
-func (reportsOnly) Publish(context.Context, gossip.Entry, bool) {}
-
 // TestCompletionIsRecordedInTimeDespiteRefusals lets the store refuse the writes of one
 // instance.
 func TestCompletionIsRecordedInTimeDespiteRefusals(t *testing.T) {
@@ -188,9 +219,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			g := newRolloutGroup(t, 5, uint64(refused))
-			g.refused = refused
+			g.set(func(g *rolloutGroup) { g.refused = refused })
 			time.Sleep(groupOrderDuration)
-			is.Equal(g.record.State, trial.Completed)
+			is.Equal(g.currentRecord().State, trial.Completed)
 		})
 	}
 }
