core/reach: one question a second while all paths are lost

Cause: each further path that was found to fail began a question at once, and each answer was a log line: 8 answers a second at each of 35 instances of a grown deployment, though all paths were detoured already. Change: while all paths are lost one question a second; answers are logged where they change something, or before anything is concluded. TestQuestionsWhileAllPathsAreLost: 10 questions in 10 s (bound from the interval).

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -200,8 +200,12 @@
 	t.lastFailed = now
 }
 
-// askSoon makes a question due as soon as the minimum time since the last one has passed.
+// askSoon makes a question due as soon as the minimum time since the last one has passed,
+// unless it would change nothing.
 func (t *Table) askSoon() {
+	if t.lost {
+		return
+	}
 	t.askInterval = 0
 	if soon := t.asked.Add(minAskInterval); soon.Before(t.nextAsk) {
 		t.nextAsk = soon
@@ -261,7 +265,7 @@
 		return nil, nil
 	}
 	suspects := t.suspects(now)
-	if t.Detours() && len(suspects) == 0 {
+	if t.lost || t.Detours() && len(suspects) == 0 {
 		t.askInterval = detourAskInterval
 	} else {
 		t.askInterval = min(max(2*t.askInterval, minAskInterval), maxAskInterval)
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -122,6 +122,21 @@
 	return table
 }
 
+// TestQuestionsWhileAllPathsAreLost guards against questions whenever another path is found to
+// fail: at large deployments these are many, and all are detoured already.
+func TestQuestionsWhileAllPathsAreLost(t *testing.T) {
+	is := is.New(t)
+	table := lostTable(is)
+	questions := 0
+	for now := 2 * time.Second; now < 12*time.Second; now += 100 * ms {
+		table.RecordFailed(at(now), fmt.Sprint("v", now), Silent)
+		if q, _ := table.Ask(at(now), newRandom(), 3); q != nil {
+			questions++
+		}
+	}
+	is.Equal(questions, 10) // one a second
+}
+
 func TestDirectConnectionEndsDetours(t *testing.T) {
 	is := is.New(t)
 	table := lostTable(is)
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -179,8 +179,12 @@
 func (r *Router) handleAnswer(from reach.Peer, q *reach.Question, a reach.Answer) {
 	d := &r.detours
 	d.mu.Lock()
+	known := d.table.Detours()
 	detoured, lost := d.table.RecordAnswer(time.Now(), from, q, a)
 	d.mu.Unlock()
+	if known && !lost && len(detoured) == 0 {
+		return // changes nothing
+	}
 	r.Log.Line("reach").Str("asked", from.Instance).Int("addresses", int64(len(q.Addresses))).Millis("any-reached-ms", a.AnyReached).
 		Bool("lost-there", a.Lost).Int("tunnels", int64(a.Tunnels)).Int("detoured", int64(len(detoured))).Bool("lost", lost).End()
 	for _, address := range detoured {
