io/tunnel, io/http1: tests in real time hold on a busy machine

Cause: TestAnswersThroughTunnel/no_length,_both_long failed once in 6 runs at a load of 44 ("opened no tunnel (wait for the answer: context deadline exceeded)"): the instance's 350 ms passed in a starved process. The trace shows an allowed case, nothing had been sent. TestOpenedConnectionCarriesOneRequest failed at times (1048645 != 69): it counted bytes after the write, and the answer may come before that. Change: tests in real time give the waits that bound each other's processes 10 s more; those of the waits themselves run in virtual time as before. Bytes are counted before they are written: equally strict.

--- a/io/http1/open_test.go
+++ b/io/http1/open_test.go
@@ -13,6 +13,19 @@
 	"github.com/matryer/is"
 )
 
+// A countedConn counts the bytes before it writes them, as the response may arrive before the
+// last write returns.
+type countedConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
 // TestOpenedConnectionCarriesOneRequest has requests open their connections themselves, while
 // the client has an idle one.
 func TestOpenedConnectionCarriesOneRequest(t *testing.T) {
@@ -46,7 +59,7 @@
 				q.Open = func(_ context.Context, address string, size int64) (net.Conn, error) {
 					stated = size
 					c, err := net.Dial("tcp", address)
-					return countingWriter{c, &written}, err
+					return countedConn{c, &written}, err
 				}
 				body, err := do(&client, address, q)
 				is.NoErr(err)
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"syscall"
+	"time"
 
 	"banyanyard/io/http1"
 	"banyanyard/io/tcp"
@@ -26,6 +27,8 @@
 // A Client opens tunnels. The zero Client is ready to use. It is safe for concurrent use.
 type Client struct {
 	Dial tcp.DialFunc // to instances; nil means TCP
+
+	extraWait time.Duration // beyond connectTimeout and answerTimeout, for tests in real time
 }
 
 // Open opens a connection to an upstream through the instance at an address. Errors are a
@@ -36,7 +39,7 @@
 	if err != nil {
 		return nil, &RefusedError{Instance: instance, Cause: err}
 	}
-	opened, err := handshake(ctx, raw, instance, &r)
+	opened, err := c.handshake(ctx, raw, instance, &r)
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
@@ -45,14 +48,14 @@
 }
 
 func (c *Client) connect(ctx context.Context, instance string) (net.Conn, error) {
-	ctx, cancel := timeoutCause(ctx, connectTimeout, "connect")
+	ctx, cancel := timeoutCause(ctx, connectTimeout+c.extraWait, "connect")
 	defer cancel()
 	return tcp.DialOrDefault(c.Dial)(ctx, "tcp", instance)
 }
 
 // handshake asks the instance at the other end of raw for a tunnel.
-func handshake(ctx context.Context, raw net.Conn, instance string, r *Request) (*conn, error) {
-	ctx, cancel := timeoutCause(ctx, answerTimeout, "wait for the answer")
+func (c *Client) handshake(ctx context.Context, raw net.Conn, instance string, r *Request) (*conn, error) {
+	ctx, cancel := timeoutCause(ctx, answerTimeout+c.extraWait, "wait for the answer")
 	defer cancel()
 	detach := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	opened := &conn{Conn: raw, reader: http1.NewResponseReader(raw, headBufferBytes)}
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -71,6 +71,8 @@
 	// tries again.
 	OnAcceptError func(error)
 
+	extraWait time.Duration // beyond dialTimeout and headTimeout, for tests in real time
+
 	mu       sync.Mutex
 	conns    map[net.Conn]context.CancelCauseFunc // guarded by mu
 	running  int                                  // guarded by mu; tunnels
@@ -215,7 +217,7 @@
 	defer func() { _ = c.Close() }()
 	begin := time.Now()
 	// From now on the end of this process does not look like that of the upstream's answer.
-	if tcp.ResetOnClose(c, true) != nil || tcp.SetTimeouts(c, askerUserTimeout) != nil || c.SetDeadline(begin.Add(headTimeout)) != nil {
+	if tcp.ResetOnClose(c, true) != nil || tcp.SetTimeouts(c, askerUserTimeout) != nil || c.SetDeadline(begin.Add(headTimeout+s.extraWait)) != nil {
 		return
 	}
 	limited := &io.LimitedReader{R: c, N: maxHeadBytes}
@@ -267,7 +269,7 @@
 }
 
 func (s *Server) connect(ctx context.Context, r Request) (net.Conn, error) {
-	ctx, cancel := timeoutCause(ctx, dialTimeout, "connect")
+	ctx, cancel := timeoutCause(ctx, dialTimeout+s.extraWait, "connect")
 	defer cancel()
 	c, err := tcp.DialOrDefault(s.Dial)(ctx, "tcp", r.Address)
 	if err != nil {
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -62,10 +62,20 @@
 	ends    chan End
 }
 
+// busyWait is how much longer than elsewhere tests in real time wait for each other's
+// processes, on a busy machine.
+const busyWait = 10 * time.Second
+
+// open opens a tunnel in real time.
+func open(ctx context.Context, instance string, r Request) (net.Conn, error) {
+	return (&Client{extraWait: busyWait}).Open(ctx, instance, r)
+}
+
 func startServer(t *testing.T) *testServer {
 	l := mustListen(t)
 	s := &testServer{address: l.Addr().String(), ends: make(chan End, 16)}
 	s.Authorize = func(Request) error { return nil }
+	s.extraWait = busyWait
 	s.OnEnd = func(_ Request, e End) { s.ends <- e }
 	go func() { _ = s.Serve(t.Context(), l) }()
 	t.Cleanup(s.Close)
@@ -85,7 +95,7 @@
 	response, err := client.Do(ctx, address, &http1.Request{
 		Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, body),
 		Open: func(ctx context.Context, address string, size int64) (net.Conn, error) {
-			return new(Client).Open(ctx, instance, newRequest(address, size))
+			return open(ctx, instance, newRequest(address, size))
 		},
 	})
 	if err != nil {
@@ -218,7 +228,7 @@
 		_, _ = c.Write(greeting)
 		_, _ = r.ReadByte()
 	})
-	c, err := new(Client).Open(t.Context(), s.address, newRequest(address, 1))
+	c, err := open(t.Context(), s.address, newRequest(address, 1))
 	is.NoErr(err)
 	got := make([]byte, len(greeting))
 	_, err = io.ReadFull(c, got)
