core/share: places are divided among the instances

Cause: what a brittle upstream bears is a number of requests at a time, not a rate, and has to be divided among the instances as well. Change: PlacesOf divides a number by rendezvous hashing; the rank that PartOf computed is a function.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,4 +1,5 @@
-// Package share divides a rate limit among the instances that keep it together.
+// Package share divides a rate limit, or a number of places, among the instances that keep
+// it together.
 //
 // Each instance has a part of the limit and spends it from a token bucket of its own, so
 // that no instance waits for another. Where a part would be too small to ever send a
@@ -45,17 +46,35 @@
 		return Part{Rate: l.Rate / n, Burst: burst / n}
 	}
 	holders := math.Floor(burst)
-	ahead := 0.0
+	if float64(rank(key, self, members)) >= holders {
+		return Part{}
+	}
+	return Part{Rate: l.Rate / holders, Burst: 1}
+}
+
+// PlacesOf returns how many of a number of places the instance self holds, which is one of
+// the members. What all members hold adds up to that number. The key identifies what the
+// places are of.
+func PlacesOf(places int, key, self string, members []string) int {
+	n := len(members)
+	held := places / n
+	if remainder := places % n; rank(key, self, members) < remainder {
+		held++
+	}
+	return held
+}
+
+// rank returns the number of other members that come before self in the key's rendezvous
+// order.
+func rank(key, self string, members []string) int {
+	ahead := 0
 	own := weight(key, self)
 	for _, member := range members {
 		if member != self && weight(key, member) > own {
 			ahead++
 		}
 	}
-	if ahead >= holders {
-		return Part{}
-	}
-	return Part{Rate: l.Rate / holders, Burst: 1}
+	return ahead
 }
 
 func weight(key, member string) uint64 {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -50,6 +50,29 @@
 	})
 }
 
+// TestPlacesAddUp checks that the places of all instances add up, and differ by one at most.
+func TestPlacesAddUp(t *testing.T) {
+	checks := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if checks++; checks > drawnLimits {
+			return
+		}
+		places := rapid.IntRange(0, 200).Draw(t, "places")
+		all := members(rapid.SampledFrom([]int{1, 2, 3, 7, 8, 24, 80}).Draw(t, "members"))
+		sum := 0
+		for _, self := range all {
+			n := PlacesOf(places, "u", self, all)
+			if least := places / len(all); n != least && n != least+1 {
+				t.Fatalf("one of %d members holds %d of %d places", len(all), n, places)
+			}
+			sum += n
+		}
+		if sum != places {
+			t.Fatalf("%d members hold %d of %d places", len(all), sum, places)
+		}
+	})
+}
+
 func TestBucket(t *testing.T) {
 	start := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	tests := []struct {
