core/placement, node/exchange, platform: brittle upstreams are not made to fall over

Cause: an upstream that is brittle says so in all its answers (Server-Brittle: N), may let fewer requests wait from 3 s later, and falls over if it has to refuse more than N in a second. Nothing read the field. In a burst all instances together sent more than the slots hold; each refusal was tried at the next upstream, so that all of them fell over, again in each burst. Callers got 503 and 502 for seconds after each.

Change: the instances divide places at a brittle upstream: as many as slots and three quarters of N at a plain service, three quarters of N at a model engine, whose room nobody else can know. An attempt takes a place when its upstream is picked, and keeps it until it ends, or at an engine until its answer begins; one that is refused keeps it for a second longer and up to two more. With its places taken an upstream counts as busy, for attempts of every kind. Notices are told by urgent gossip and to instances that start, and presumed of the other upstreams of the service and of new starts until they answer. explain shows the exclusion "brittle".

Where there are fewer places than instances, some serve nothing; handing requests over to others would help there.

--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -29,6 +29,7 @@
 	Pausing           Exclusion = "pausing"
 	ColdLimit         Exclusion = "cold-limit"
 	NamedLimitReached Exclusion = "named-limit"
+	NoPlace           Exclusion = "brittle" // this instance has no free place there
 	AvoidedOutlier    Exclusion = "outlier"
 	AvoidedRefusing   Exclusion = "refused-just-now"
 )
@@ -173,6 +174,11 @@
 // reachedLimit returns the exclusion that makes an attempt wait the longest.
 func (f *Fleet) reachedLimit(now time.Time, s *service, u *upstream) Exclusion {
 	longest, found := u.pausedUntil.Sub(now), Pausing
+	if u.brittle.notice.Brittle {
+		if wait := f.placeWait(now, s, u); wait > max(longest, 0) {
+			longest, found = wait, NoPlace
+		}
+	}
 	for _, l := range f.limiters(now, s, u) {
 		wait, ok := l.bucket.Wait(now, f.partOf(now, u, l))
 		if !ok {
--- a/core/placement/explain_test.go
+++ b/core/placement/explain_test.go
@@ -42,6 +42,11 @@
 		{name: "named limit", prepare: func(f *Fleet) {
 			f.SetNamedLimit(start, NamedLimit{Upstream: "u0", Rate: 0.001, Version: 1})
 		}, want: NamedLimitReached, wait: -1},
+		{name: "brittle", prepare: func(f *Fleet) {
+			f.SetBrittle(start, BrittleNotice{Upstream: "u0", Brittle: true, Version: 1})
+			end(Refused)(f)
+			f.byID["u0"].brittle.held[0] = start.Add(refusalWindow)
+		}, want: NoPlace, wait: refusalWindow},
 		{name: "outlier", prepare: func(f *Fleet) {
 			for range 5 {
 				end(Failed)(f)
--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -40,6 +40,7 @@
 
 type service struct {
 	coldRate  float64     // requests per second that a cold upstream may get; 0 means no limit
+	hasModels bool        // its upstreams are model engines
 	upstreams []*upstream // sorted by ID
 	errorRate movingRate  // over all its upstreams
 	partition promptPartition
@@ -83,6 +84,11 @@
 // may get from all instances together; 0 means no limit.
 func (f *Fleet) SetColdRate(serviceName string, rate float64) { f.service(serviceName).coldRate = rate }
 
+// SetHasModels sets whether the upstreams of the service are model engines.
+func (f *Fleet) SetHasModels(serviceName string, hasModels bool) {
+	f.service(serviceName).hasModels = hasModels
+}
+
 // SetDomainDisabled sets whether the upstreams of a failure domain get no new
 // attempts.
 func (f *Fleet) SetDomainDisabled(domain string, disabled bool) { f.disabledDomains[domain] = disabled }
@@ -136,13 +142,15 @@
 		f.refresh(now, u, r)
 		return
 	}
-	if u != nil {
-		f.remove(u)
+	earlier := u
+	u = f.returning(r)
+	f.presumeAsOthers(now, f.service(r.Service), u)
+	if earlier != nil {
+		f.remove(earlier)
 	}
 	if f.firstRegistered.IsZero() {
 		f.firstRegistered = now
 	}
-	u = f.returning(r)
 	f.setColdLeft(now, u, r.ColdLeft)
 	f.byID[r.ID] = u
 	s := f.service(r.Service)
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -43,13 +43,17 @@
 	Version     uint64  // increases with each change
 }
 
-// wait returns the time until this instance may send to the upstream by its limits and by
-// the pause that it asked for, and never if this instance has no part of a limit.
+// wait returns the time until this instance may send to the upstream by its limits, by the
+// pause that it asked for and by its places there if it is brittle, and never if this
+// instance has no part of a limit, or no place.
 func (f *Fleet) wait(now time.Time, s *service, u *upstream) time.Duration {
 	longest := time.Duration(0)
 	if !u.pausedUntil.IsZero() {
 		longest = max(0, u.pausedUntil.Sub(now))
 	}
+	if u.brittle.notice.Brittle {
+		longest = max(longest, f.placeWait(now, s, u))
+	}
 	for _, l := range f.limiters(now, s, u) {
 		wait, ok := l.bucket.Wait(now, f.partOf(now, u, l))
 		if !ok {
@@ -83,7 +87,7 @@
 // partOf returns this instance's part of a limit.
 func (f *Fleet) partOf(now time.Time, u *upstream, l *limiter) share.Part {
 	members := f.instanceNames
-	if now.Sub(f.firstRegistered) < joinTime && len(members) < minJoinInstances {
+	if f.isJoining(now) {
 		return l.limit.PartOf(u.ID, f.instance, f.joinNames())
 	}
 	if l.partRound != f.memberRound || l.partLimit != l.limit {
@@ -93,6 +97,11 @@
 	return l.part
 }
 
+// isJoining reports whether this instance may not know the others yet.
+func (f *Fleet) isJoining(now time.Time) bool {
+	return now.Sub(f.firstRegistered) < joinTime && len(f.instanceNames) < minJoinInstances
+}
+
 // joinNames returns the known instances, and made-up ones up to minJoinInstances.
 func (f *Fleet) joinNames() []string {
 	names := append([]string(nil), f.instanceNames...)
--- a/core/placement/pick.go
+++ b/core/placement/pick.go
@@ -41,7 +41,10 @@
 	Load    float64
 	LoadAge time.Duration
 
-	u *upstream
+	u          *upstream
+	pickedAt   time.Time
+	unanswered int  // attempts of this instance there without an answer, including this one
+	answered   bool // the answer has begun
 }
 
 // A PickResult says whether an upstream was picked and, if not, why.
@@ -203,11 +206,12 @@
 func (f *Fleet) reserve(now time.Time, u *upstream) *Slot {
 	f.domainHealth(u.FailureDomain).noteAttempt(now, u.ID)
 	u.runningAttempts++
+	u.unanswered++
 	u.totalAttempts++
 	u.lastAttempt = now
 	u.startedSince++
 	f.spend(now, f.service(u.Service), u)
-	slot := &Slot{Upstream: u.Upstream, Cold: f.isCold(now, u), Running: u.runningAttempts, Load: -1, u: u}
+	slot := &Slot{Upstream: u.Upstream, Cold: f.isCold(now, u), Running: u.runningAttempts, Load: -1, u: u, pickedAt: now, unanswered: u.unanswered}
 	if f.usesSharedLoad(now, []*upstream{u}) {
 		slot.Load = u.load()
 		slot.LoadAge = now.Sub(f.loadSetAt)
@@ -258,6 +262,9 @@
 func (f *Fleet) Release(now time.Time, slot *Slot, o Outcome) {
 	u := slot.u
 	u.runningAttempts--
+	if !slot.answered {
+		u.unanswered--
+	}
 	s := f.service(u.Service)
 	switch o {
 	case Canceled:
@@ -268,6 +275,7 @@
 		f.domainHealth(u.FailureDomain).noteResponse()
 	case Refused:
 		u.refusingUntil = now.Add(refusedPause)
+		f.recordRefusal(now, u)
 		f.domainHealth(u.FailureDomain).noteResponse()
 	case Misdirected:
 		u.downUntil = now.Add(maxBackoff)
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -44,9 +44,11 @@
 	namedAt       time.Time
 	namedTold     float64 // rate that the other instances have been told
 	namedVersion  uint64  // of the limit that it names
+	brittle       brittleness
 
 	totalAttempts   int     // attempts of this instance so far
 	runningAttempts int     // attempts of this instance in progress
+	unanswered      int     // those whose answers have not begun
 	sharedRunning   float64 // estimated attempts of all instances in progress; see Fleet.SetLoad
 	startedSince    int     // attempts of this instance that started after that estimate
 	lastAttempt     time.Time
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -118,6 +118,10 @@
 	// Limit is the number of requests a second that the upstream takes from all instances
 	// together, as long as its answers say so; 0 if it names none.
 	Limit float64
+	// Brittle is true if the upstream says that it falls over when it has to refuse more
+	// than MaxRefusals requests in a second.
+	Brittle     bool
+	MaxRefusals int
 }
 
 // An Event is one event of a stream, with its framing.
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -110,6 +110,7 @@
 	}
 	for _, s := range t.Services {
 		r.fleet.SetColdRate(s.Name, s.ColdRate)
+		r.fleet.SetHasModels(s.Name, s.ModelCosts != nil)
 	}
 	r.demands.setServices(t.Services)
 	r.table.Store(t)
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -259,6 +259,7 @@
 	}
 	defer answer.Close()
 	e.router.recordLimit(slot, answer.Head(), start)
+	e.router.recordBrittle(slot, answer.Head())
 	e.router.recordAdmission(slot, answer.Head())
 	headLatency := time.Since(start)
 	result := e.receive(ctx, answer, slot)
