--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -274,6 +274,7 @@
 		e.router.recordHeard(slot.Upstream.Address)
 	}
 	e.router.recordLimit(slot, answer.Head(), start)
+	e.router.recordBrittle(slot, answer.Head())
 	e.router.recordAdmission(slot, answer.Head())
 	headLatency := time.Since(start)
 	result := e.receive(ctx, answer, slot)
