node/exchange: without another instance to connect through, a lost path counts as unreachable

Callers saw: at an instance that had lost its paths and then every instance that helps, requests held until their deadline (2 s, 8 s), or, where connections are refused, a process that only dials. Cause: a direct attempt that failed was excused because its path was known to be lost, whenever that was. Change: only attempts that began before the path was known to be lost are excused. Class: a retry that counts nothing needs a bound of its own.

--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -167,6 +167,7 @@
 	status       int
 	limit        float64       // that the answer named, in requests a second; 0 if none
 	detour       *Detour       // that a new connection took; nil for none
+	pathLost     bool          // the direct path was known to be lost when the attempt began
 	writing      time.Duration // from the first event to the end of the attempt; 0 without an event
 }
 
@@ -257,6 +258,7 @@
 	e.attempts++
 	e.tried = append(e.tried, slot.Upstream.ID)
 	a := e.newAttempt(slot)
+	pathLost := e.router.isDetoured(slot.Upstream.Address)
 	reading := e.router.demands.begin(e.request.Service)
 	defer reading.end()
 	e.reading = reading
@@ -266,7 +268,7 @@
 	answer, err := e.router.Transport.Send(ctx, a)
 	if err != nil {
 		result := e.classifySendError(ctx, err, start)
-		result.detour = a.Detour
+		result.detour, result.pathLost = a.Detour, pathLost
 		return result
 	}
 	defer answer.Close()
@@ -281,7 +283,7 @@
 	result.took = time.Since(start)
 	result.status = answer.Head().Status
 	result.limit = answer.Head().Limit
-	result.detour = a.Detour
+	result.detour, result.pathLost = a.Detour, pathLost
 	if result.outcome == placement.Completed {
 		result.firstEvent = headLatency
 	}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -251,8 +251,8 @@
 		r.recordAnswer(e)
 	}
 	outcome := result.outcome
-	if result.detour == nil && outcome.ConnectionFailed() && r.isDetoured(s.Upstream.Address) {
-		outcome = placement.Canceled // it is this instance's path that failed
+	if outcome.ConnectionFailed() && !result.pathLost && r.isDetoured(s.Upstream.Address) {
+		outcome = placement.Canceled // it is this instance's path that failed; the next attempt takes a detour
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
