core/reach: with many detoured addresses each has instances to go through

Cause: an answer replaced what an instance had said of all addresses before, and a question has 64 at most: of 100 detoured addresses 36 had no instance to connect through, and were tried directly. With 64 failing ones no detoured one was asked about. Change: answers are kept by address, each for 6 s; too many addresses take turns; where no instance has reached the address lately, any that is fit is tried. Test: TestManyDetouredAddresses, "none has reached the upstream lately"; both fail on the code before.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -47,6 +47,9 @@
 	// answerRetention is how long an instance counts as able to open connections after it
 	// has said so.
 	answerRetention = 3 * time.Second
+	// reachRetention is how long an instance counts as reaching an address after it has said
+	// so: with many addresses not each question has all of them.
+	reachRetention = 6 * time.Second
 	// avoidTime is how long an instance is left out after it could not be used.
 	avoidTime = 2 * time.Second
 	// pathRetention is how long an unused path is remembered.
@@ -109,10 +112,16 @@
 	Peer
 	answered time.Time
 	fit      bool
-	tunnels  int             // that it served then
-	started  int             // tunnels opened through it since
-	reaches  map[string]bool // of the addresses asked for
-	avoid    time.Time
+	tunnels  int                  // that it served then
+	started  int                  // tunnels opened through it since
+	reaches  map[string]time.Time // when it last said that it had reached an address
+	avoid    time.Time            // it is left out until then
+}
+
+// reachesNow reports whether it has reached an address lately.
+func (h *helper) reachesNow(now time.Time, address string) bool {
+	at, ok := h.reaches[address]
+	return ok && now.Sub(at) < reachRetention
 }
 
 // A Table is one instance's view of its paths. The zero Table is ready to use.
@@ -128,6 +137,7 @@
 	lastFailed  time.Time // last failure
 	lost        bool      // all paths are lost
 	lostSilent  bool      // the failures that showed it were Silent
+	lastAsked   string    // last address of the last question
 	asked       time.Time // when Ask last returned a question
 	nextAsk     time.Time
 	askInterval time.Duration
@@ -271,12 +281,25 @@
 		t.askInterval = min(max(2*t.askInterval, minAskInterval), maxAskInterval)
 	}
 	t.asked, t.nextAsk = now, now.Add(t.askInterval)
+	return &Question{Addresses: t.nextAsked(suspects), At: now}, t.choosePeers(random, n)
+}
+
+// nextAsked returns the addresses of a question: those whose paths fail for an unknown reason,
+// and the detoured ones. If there are too many, they take turns.
+func (t *Table) nextAsked(addresses []string) []string {
 	for address, p := range t.paths {
 		if p.detoured {
-			suspects = append(suspects, address)
+			addresses = append(addresses, address)
 		}
 	}
-	return &Question{Addresses: suspects[:min(len(suspects), maxAsked)], At: now}, t.choosePeers(random, n)
+	slices.Sort(addresses)
+	if len(addresses) <= maxAsked {
+		return addresses
+	}
+	after, _ := slices.BinarySearch(addresses, t.lastAsked+"\x00") // the first one behind
+	addresses = append(addresses[after:], addresses[:after]...)[:maxAsked]
+	t.lastAsked = addresses[maxAsked-1]
+	return addresses
 }
 
 // choosePeers returns up to n random peers, half of them of this failure domain if there
@@ -304,13 +327,13 @@
 	h.answered = now
 	h.fit = !a.Lost && a.AnyReached >= 0
 	h.tunnels, h.started = a.Tunnels, 0
-	h.reaches = map[string]bool{}
 	for i, address := range q.Addresses[:min(len(q.Addresses), len(a.Reached))] {
 		p := t.paths[address]
 		if p == nil || p.failures == 0 || !q.reachedAfter(p.failed, a.Reached[i]) {
+			delete(h.reaches, address)
 			continue
 		}
-		h.reaches[address] = true
+		h.reaches[address] = now
 		if !p.detoured {
 			p.detoured = true
 			detoured = append(detoured, address)
@@ -355,7 +378,7 @@
 	}
 	h := t.helpers[p.ID]
 	if h == nil {
-		h = &helper{}
+		h = &helper{reaches: map[string]time.Time{}}
 		t.helpers[p.ID] = h
 	}
 	h.Peer = p
@@ -393,21 +416,24 @@
 const nearSlack = 8
 
 // Choose returns the instance through which to open a connection to an address, and false if
-// none is known to be able to. Of two that are chosen at random, the one with fewer tunnels
-// gets it, and those of this failure domain go first unless they have many more.
+// none is known to be able to. Those go first that have reached the address. Of two that are
+// chosen at random, the one with fewer tunnels gets it, of this failure domain unless those
+// have many more.
 func (t *Table) Choose(now time.Time, random *rand.Rand, address string) (Peer, bool) {
-	p := t.paths[address]
-	confirmed := p != nil && p.detoured && !t.lost
-	var near, far []*helper
+	var all, sure []*helper
 	for _, h := range t.helpers {
-		switch {
-		case !h.fit, now.Sub(h.answered) >= answerRetention, now.Before(h.avoid), confirmed && !h.reaches[address]:
-		case h.FailureDomain == t.Domain:
-			near = append(near, h)
-		default:
-			far = append(far, h)
+		if !h.fit || now.Sub(h.answered) >= answerRetention || now.Before(h.avoid) {
+			continue
+		}
+		all = append(all, h)
+		if h.reachesNow(now, address) {
+			sure = append(sure, h)
 		}
 	}
+	if len(sure) > 0 && !t.lost {
+		all = sure
+	}
+	near, far := splitByDomain(all, t.Domain)
 	best := lessLoadedOfTwo(random, near)
 	if other := lessLoadedOfTwo(random, far); best == nil || other != nil && other.load()+nearSlack < best.load() {
 		best = other
@@ -419,6 +445,18 @@
 	return best.Peer, true
 }
 
+// splitByDomain returns the helpers of a failure domain and the others.
+func splitByDomain(helpers []*helper, domain string) (near, far []*helper) {
+	for _, h := range helpers {
+		if h.FailureDomain == domain {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
+		}
+	}
+	return near, far
+}
+
 // load returns the estimated number of tunnels that the helper serves.
 func (h *helper) load() int { return h.tunnels + h.started }
 
@@ -436,8 +474,8 @@
 	return best
 }
 
-// Avoid records that a connection could not be opened through an instance for a reason that
-// says nothing about the upstream.
+// Avoid records that an instance cannot be used for a while: it could not be reached, or
+// serves nobody.
 func (t *Table) Avoid(now time.Time, id string) {
 	if h := t.helpers[id]; h != nil {
 		h.avoid = now.Add(avoidTime)
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -178,6 +178,12 @@
 			table.RecordAnswer(at(2*time.Second), peers[1], q, Answer{Reached: []time.Duration{-1}, AnyReached: ms})
 			table.RecordOpened(at(2*time.Second), "u3") // not all paths are lost
 		}, want: []string{"d"}},
+		{name: "none has reached the upstream lately", before: func(table *Table) {
+			for _, p := range peers {
+				table.RecordAnswer(at(2*time.Second), p, &Question{Addresses: []string{"u1"}}, Answer{Reached: []time.Duration{-1}, AnyReached: ms})
+			}
+			table.RecordOpened(at(2*time.Second), "u3") // not all paths are lost
+		}, want: []string{"b"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -201,6 +207,36 @@
 	}
 }
 
+// TestManyDetouredAddresses guards against addresses of which no instance is ever asked.
+func TestManyDetouredAddresses(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	const count = 100
+	for i := range count {
+		table.RecordFailed(at(0), fmt.Sprint("u", i), Silent)
+	}
+	table.RecordOpened(at(ms), "v") // not all paths are lost
+	for now := 10 * ms; now < 6*time.Second; now += 10 * ms {
+		q, asked := table.Ask(at(now), newRandom(), 3)
+		for _, p := range asked {
+			a := Answer{AnyReached: 0, Reached: make([]time.Duration, len(q.Addresses))}
+			table.RecordAnswer(at(now), p, q, a)
+		}
+	}
+	for i := range count {
+		address := fmt.Sprint("u", i)
+		detoured, _ := table.Detoured(address)
+		is.True(detoured)
+		sure := 0
+		for _, h := range table.helpers {
+			if h.reachesNow(at(6*time.Second), address) {
+				sure++
+			}
+		}
+		is.Equal(sure, len(peers))
+	}
+}
+
 // TestNextIsNotPastOnceItIsServed guards against a loop that waits for a time that has passed.
 func TestNextIsNotPastOnceItIsServed(t *testing.T) {
 	tests := []struct {
