node/exchange, io/tunnel: an instance that refuses one upstream is asked for others

Callers saw: at an instance that is cut off, requests refused, or dialled without end, though another instance reached upstreams of the service. Cause: an instance that does not know an upstream, or has no path to it, says so by 403, after which it was left out for all upstreams for 2 s; the same upstream was picked again through the next one, until none was left. Change: a refusal of one upstream (RefusedError.ForUpstream) leaves the instance out for that address only; a request is declined twice at most before that counts against the upstream. Test: TestRefusalOfOneUpstreamLeavesOthersReachable fails without the distinction: "no upstream of service \"s\" is available (upstreams-busy)"; TestChoose, avoided for the address.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -116,6 +116,12 @@
 	started  int                  // tunnels opened through it since
 	reaches  map[string]time.Time // when it last said that it had reached an address
 	avoid    time.Time            // it is left out until then
+	refuses  map[string]time.Time // it is left out for an address until then
+}
+
+// avoided reports whether the helper is left out for an address.
+func (h *helper) avoided(now time.Time, address string) bool {
+	return now.Before(h.avoid) || now.Before(h.refuses[address])
 }
 
 // reachesNow reports whether it has reached an address lately.
@@ -378,7 +384,7 @@
 	}
 	h := t.helpers[p.ID]
 	if h == nil {
-		h = &helper{reaches: map[string]time.Time{}}
+		h = &helper{reaches: map[string]time.Time{}, refuses: map[string]time.Time{}}
 		t.helpers[p.ID] = h
 	}
 	h.Peer = p
@@ -422,7 +428,7 @@
 func (t *Table) Choose(now time.Time, random *rand.Rand, address string) (Peer, bool) {
 	var all, sure []*helper
 	for _, h := range t.helpers {
-		if !h.fit || now.Sub(h.answered) >= answerRetention || now.Before(h.avoid) {
+		if !h.fit || now.Sub(h.answered) >= answerRetention || h.avoided(now, address) {
 			continue
 		}
 		all = append(all, h)
@@ -482,6 +488,20 @@
 	}
 }
 
+// AvoidFor records that an instance refused to connect to an address.
+func (t *Table) AvoidFor(now time.Time, id, address string) {
+	h := t.helpers[id]
+	if h == nil {
+		return
+	}
+	for a, until := range h.refuses {
+		if !now.Before(until) {
+			delete(h.refuses, a)
+		}
+	}
+	h.refuses[address] = now.Add(avoidTime)
+}
+
 // Answer returns what this instance has seen.
 func (t *Table) Answer(now time.Time, q *Question) Answer {
 	a := Answer{AnyReached: age(now, t.heard), Lost: t.lost}
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -73,7 +73,7 @@
 	case status == http.StatusGatewayTimeout:
 		return nil, &UpstreamError{Instance: instance, Upstream: r.Upstream, Cause: errors.Wrap(os.ErrDeadlineExceeded, reason)}
 	default:
-		return nil, &RefusedError{Instance: instance, Cause: errors.Errorf("%d: %s", status, reason)}
+		return nil, &RefusedError{Instance: instance, ForUpstream: status == http.StatusForbidden, Cause: errors.Errorf("%d: %s", status, reason)}
 	}
 }
 
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -89,7 +89,10 @@
 // invalid answer or refused a tunnel. It says nothing about the upstream.
 type RefusedError struct {
 	Instance string // address
-	Cause    error
+	// ForUpstream is true if the instance refused to connect to this upstream. It may connect
+	// to others.
+	ForUpstream bool
+	Cause       error
 }
 
 func (e *RefusedError) Error() string {
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -11,6 +11,7 @@
 	"banyanyard/core/member"
 	"banyanyard/core/placement"
 	"banyanyard/core/reach"
+	"banyanyard/io/tunnel"
 
 	"github.com/pkg/errors"
 )
@@ -110,11 +111,31 @@
 	}
 }
 
-// recordHeard records that an upstream has answered on a direct connection.
-func (r *Router) recordHeard(address string) {
+// recordAnswered records that the upstream of an attempt has answered.
+func (r *Router) recordAnswered(a *Attempt) {
 	r.detours.mu.Lock()
 	defer r.detours.mu.Unlock()
-	r.detours.table.RecordHeard(time.Now(), address)
+	if a.Detour == nil {
+		r.detours.table.RecordHeard(time.Now(), a.Upstream.Address)
+	}
+}
+
+// recordDetourFailed records why an attempt through another instance got no answer, if that
+// says something about the instance.
+func (r *Router) recordDetourFailed(a *Attempt, err error) {
+	if a.Detour == nil {
+		return
+	}
+	d, id, now := &r.detours, a.Detour.Peer.ID, time.Now()
+	var refused *tunnel.RefusedError
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case errors.As(err, &refused) && refused.ForUpstream:
+		d.table.AvoidFor(now, id, a.Upstream.Address)
+	case errors.As(err, &refused):
+		d.table.Avoid(now, id)
+	}
 }
 
 // Reach returns which upstreams this instance has reached.
@@ -240,13 +261,6 @@
 	return &Detour{Peer: p, Silent: silent}
 }
 
-// avoidPeer leaves an instance out of detours for a time.
-func (r *Router) avoidPeer(id string) {
-	r.detours.mu.Lock()
-	defer r.detours.mu.Unlock()
-	r.detours.table.Avoid(time.Now(), id)
-}
-
 // AllowTunnel returns an error if the instance whose start has the ID may not connect to
 // the upstream through this one.
 func (r *Router) AllowTunnel(from, upstream, address string) error {
--- /dev/null
+++ b/node/exchange/detours_test.go
@@ -0,0 +1,81 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanyard/core/member"
+	"banyanyard/core/reach"
+	"banyanyard/core/routing"
+	"banyanyard/io/http1"
+	"banyanyard/io/tunnel"
+
+	"github.com/matryer/is"
+)
+
+// loseAllPaths makes a router conclude that all its paths are lost, and that the instances
+// with the given IDs reach the upstreams.
+func loseAllPaths(r *Router, ids ...string) {
+	var members []member.Status
+	for _, id := range ids {
+		members = append(members, member.Status{Identity: member.Identity{ID: id, Instance: id, Address: id, TunnelAddress: id, FailureDomain: "d1"}})
+	}
+	r.SetPeers(members, func(member.Status) bool { return true })
+	r.RecordDial("0", syscall.ECONNREFUSED, 0)
+	r.RecordDial("1", syscall.ECONNREFUSED, 0)
+	time.Sleep(time.Millisecond)
+	for _, id := range ids {
+		r.handleAnswer(reach.Peer{ID: id, Instance: id, Tunnel: id, FailureDomain: "d1"}, &reach.Question{At: time.Now()}, reach.Answer{})
+	}
+}
+
+// directlyRefused returns the error of a direct attempt of an instance that is cut off.
+func directlyRefused(a *Attempt) error {
+	return &http1.UnreachableError{Address: a.Upstream.Address, Cause: syscall.ECONNREFUSED}
+}
+
+// send sends an idempotent request and returns its error.
+func send(t *testing.T, r *Router) error {
+	route := &routing.Route{Name: "look", Kind: routing.Idempotent, MaxAttempts: 3, LatencyObjective: 200 * time.Millisecond}
+	return r.Run(t.Context(), &Request{ID: "1", Route: route, Service: "s", Method: http.MethodGet, Target: "/", Arrived: time.Now(), Deadline: time.Now().Add(time.Second)}, &fakeWriter{})
+}
+
+// TestRefusalOfOneUpstreamLeavesOthersReachable guards against an instance that is left out for all
+// upstreams because it refuses to connect to one of them.
+func TestRefusalOfOneUpstreamLeavesOthersReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(2)
+		defer r.Log.Close()
+		r.SetUpstreamsKnown()
+		refused := 0
+		r.Transport = contextTransport(func(_ context.Context, a *Attempt) (Answer, error) {
+			switch {
+			case a.Detour == nil:
+				return nil, directlyRefused(a)
+			case a.Upstream.ID == "u0":
+				refused++
+				return nil, &http1.UnreachableError{Address: a.Upstream.Address, Cause: &tunnel.RefusedError{Instance: a.Detour.Peer.Tunnel, ForUpstream: true, Cause: syscall.EINVAL}}
+			}
+			return &wholeAnswer{}, nil
+		})
+		loseAllPaths(r, "b")
+		for range 20 {
+			is.NoErr(send(t, r))
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(refused >= 1 && refused <= 3) // it is not asked for that upstream each time
+	})
+}
+
+// A wholeAnswer is an answer with an empty body.
+type wholeAnswer struct{}
+
+func (wholeAnswer) Head() Head                                  { return Head{Status: http.StatusOK} }
+func (wholeAnswer) Close()                                      {}
+func (wholeAnswer) ReadBody(int, time.Duration) ([]byte, error) { return []byte{}, nil }
+func (wholeAnswer) NextEvent(time.Duration) (Event, error)      { return Event{}, syscall.EINVAL }
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -51,6 +51,9 @@
 	// Retry-After time. It is random so that callers do not retry all at once.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 700 * time.Millisecond
+	// maxUnsent is the number of attempts of a request that other instances may decline to
+	// connect before that counts against the upstream: others may be reached.
+	maxUnsent = 2
 	// minAttemptTime is the minimum time before the deadline for another attempt.
 	minAttemptTime = 20 * time.Millisecond
 )
@@ -73,6 +76,7 @@
 	failure       *upstreamFailure // last failure that an upstream reported
 	firstEventAt  time.Time
 	versionChoice versionChoice
+	unsent        int              // attempts that other instances did not connect
 	next          *placement.Slot  // of the next attempt, whose retry is spent; see giveUp
 	probe         bool             // sent despite a verdict, to find out whether it still holds
 	mayCrash      bool             // an upstream crashed when it was about to write the answer
@@ -269,12 +273,11 @@
 	if err != nil {
 		result := e.classifySendError(ctx, err, start)
 		result.detour, result.pathLost = a.Detour, pathLost
+		e.router.recordDetourFailed(a, err)
 		return result
 	}
 	defer answer.Close()
-	if a.Detour == nil {
-		e.router.recordHeard(slot.Upstream.Address)
-	}
+	e.router.recordAnswered(a)
 	e.router.recordLimit(slot, answer.Head(), start)
 	e.router.recordBrittle(slot, answer.Head())
 	e.router.recordAdmission(slot, answer.Head())
@@ -397,7 +400,8 @@
 		result.outcome = placement.Canceled
 		result.notRun = errors.As(err, &unreachable)
 		result.err = context.Cause(ctx)
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && e.unsent < maxUnsent:
+		e.unsent++
 		result.outcome = placement.Unsent
 		result.notRun = true
 	case errors.As(err, &unreachable):
@@ -559,14 +563,13 @@
 	return nil
 }
 
-// leaveDetour lets the next attempt go to the same upstream through another instance, if it was
-// the instance that did not send this one.
+// leaveDetour lets the next attempt go to the same upstream, if it was another instance that did
+// not send this one.
 func (e *execution) leaveDetour(result attemptResult) {
 	if result.outcome != placement.Unsent {
 		return
 	}
 	e.tried = e.tried[:len(e.tried)-1]
-	e.router.avoidPeer(result.detour.Peer.ID)
 }
 
 // takeRetry takes a retry of the budget unless giveUp has, and reports whether there was one.
