node/exchange: the lost paths or the end of another instance are not blamed on upstreams

Callers saw: at an instance that is cut off, requests refused while the instance that it connects through has lost its own paths, or power, and does not know it yet. Cause: connections that such an instance cannot open, and tunnels to it that fall silent, counted as signs against the upstream and its failure domain, and the instance went on being chosen. Change: an instance that cannot connect to two upstreams in a row, or falls silent, is left out for 2 s, and what counted against detoured upstreams is forgotten; silence of a tunnel says nothing about its upstream. Test: TestLostInstanceIsNotBlamedOnUpstreams, both cases fail on the code before (fewer than 29 of 30 served).

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -50,6 +50,9 @@
 	// reachRetention is how long an instance counts as reaching an address after it has said
 	// so: with many addresses not each question has all of them.
 	reachRetention = 6 * time.Second
+	// maxFailedAddresses is the number of upstreams to which an instance cannot connect in
+	// a row, from which on its own paths are doubted.
+	maxFailedAddresses = 2
 	// avoidTime is how long an instance is left out after it could not be used.
 	avoidTime = 2 * time.Second
 	// pathRetention is how long an unused path is remembered.
@@ -117,6 +120,7 @@
 	reaches  map[string]time.Time // when it last said that it had reached an address
 	avoid    time.Time            // it is left out until then
 	refuses  map[string]time.Time // it is left out for an address until then
+	failed   map[string]bool      // addresses that it could not connect to since it last did to any
 }
 
 // avoided reports whether the helper is left out for an address.
@@ -384,7 +388,7 @@
 	}
 	h := t.helpers[p.ID]
 	if h == nil {
-		h = &helper{reaches: map[string]time.Time{}, refuses: map[string]time.Time{}}
+		h = &helper{reaches: map[string]time.Time{}, refuses: map[string]time.Time{}, failed: map[string]bool{}}
 		t.helpers[p.ID] = h
 	}
 	h.Peer = p
@@ -502,6 +506,29 @@
 	h.refuses[address] = now.Add(avoidTime)
 }
 
+// RecordTunnelOpened records that an instance has connected to an upstream for this one.
+func (t *Table) RecordTunnelOpened(id string) {
+	if h := t.helpers[id]; h != nil {
+		clear(h.failed)
+	}
+}
+
+// RecordTunnelFailed records that an instance could not connect to an address for this one. It
+// reports whether the instance is left out from now on, as it probably has lost its own paths.
+func (t *Table) RecordTunnelFailed(now time.Time, id, address string) bool {
+	h := t.helpers[id]
+	if h == nil {
+		return false
+	}
+	h.failed[address] = true
+	if len(h.failed) < maxFailedAddresses {
+		return false
+	}
+	clear(h.failed)
+	h.avoid = now.Add(avoidTime)
+	return true
+}
+
 // Answer returns what this instance has seen.
 func (t *Table) Answer(now time.Time, q *Question) Answer {
 	a := Answer{AnyReached: age(now, t.heard), Lost: t.lost}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -167,6 +167,19 @@
 		{name: "avoided for the address", before: func(table *Table) { table.AvoidFor(at(2*time.Second), "b-1", "u1") }, want: []string{"c", "d"}},
 		{name: "avoided for another address", before: func(table *Table) { table.AvoidFor(at(2*time.Second), "b-1", "u2") }, want: []string{"b"}},
 		{name: "avoided for long ago", before: func(table *Table) { table.AvoidFor(at(0), "b-1", "u1") }, want: []string{"b"}},
+		{name: "cannot connect to one upstream", before: func(table *Table) {
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u1")
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u1")
+		}, want: []string{"b"}},
+		{name: "cannot connect to two upstreams", before: func(table *Table) {
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u1")
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u2")
+		}, want: []string{"c", "d"}},
+		{name: "has connected to another one in between", before: func(table *Table) {
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u1")
+			table.RecordTunnelOpened("b-1")
+			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u2")
+		}, want: []string{"b"}},
 		{name: "gone", before: func(table *Table) { table.SetPeers(peers[1:2]) }, want: []string{"c"}},
 		{name: "has lost its paths", before: func(table *Table) {
 			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyReached: ms, Lost: true})
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -115,9 +115,11 @@
 func (r *Router) recordAnswered(a *Attempt) {
 	r.detours.mu.Lock()
 	defer r.detours.mu.Unlock()
-	if a.Detour == nil {
-		r.detours.table.RecordHeard(time.Now(), a.Upstream.Address)
+	if a.Detour != nil {
+		r.detours.table.RecordTunnelOpened(a.Detour.Peer.ID)
+		return
 	}
+	r.detours.table.RecordHeard(time.Now(), a.Upstream.Address)
 }
 
 // recordDetourFailed records why an attempt through another instance got no answer, if that
@@ -128,13 +130,21 @@
 	}
 	d, id, now := &r.detours, a.Detour.Peer.ID, time.Now()
 	var refused *tunnel.RefusedError
+	var upstream *tunnel.UpstreamError
+	doubted := false
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	switch {
 	case errors.As(err, &refused) && refused.ForUpstream:
 		d.table.AvoidFor(now, id, a.Upstream.Address)
-	case errors.As(err, &refused):
+	case errors.As(err, &refused), errors.Is(err, syscall.ETIMEDOUT):
 		d.table.Avoid(now, id)
+	case errors.As(err, &upstream):
+		doubted = d.table.RecordTunnelFailed(now, id, a.Upstream.Address)
+	}
+	d.mu.Unlock()
+	if doubted {
+		r.Log.Line("path").Str("instance", a.Detour.Peer.Instance).Str("state", "doubted").Err(err).End()
+		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(r.isDetoured) })
 	}
 }
 
--- a/node/exchange/detours_test.go
+++ b/node/exchange/detours_test.go
@@ -79,3 +79,47 @@
 func (wholeAnswer) Close()                                      {}
 func (wholeAnswer) ReadBody(int, time.Duration) ([]byte, error) { return []byte{}, nil }
 func (wholeAnswer) NextEvent(time.Duration) (Event, error)      { return Event{}, syscall.EINVAL }
+
+// TestLostInstanceIsNotBlamedOnUpstreams guards against upstreams that count as unreachable
+// because another instance has lost its own paths, or power, and does not know it yet.
+func TestLostInstanceIsNotBlamedOnUpstreams(t *testing.T) {
+	tests := []struct {
+		name string
+		err  func(a *Attempt) error
+	}{
+		{name: "it cannot connect to upstreams", err: func(a *Attempt) error {
+			return &http1.UnreachableError{Address: a.Upstream.Address, Cause: &tunnel.UpstreamError{Cause: context.DeadlineExceeded}}
+		}},
+		{name: "it falls silent", err: func(a *Attempt) error {
+			return &http1.BrokenError{Address: a.Upstream.Address, Cause: syscall.ETIMEDOUT}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRouter(6)
+				defer r.Log.Close()
+				r.SetUpstreamsKnown()
+				r.Transport = contextTransport(func(_ context.Context, a *Attempt) (Answer, error) {
+					switch {
+					case a.Detour == nil:
+						return nil, directlyRefused(a)
+					case a.Detour.Peer.ID == "b":
+						return nil, tt.err(a)
+					}
+					return &wholeAnswer{}, nil
+				})
+				loseAllPaths(r, "b", "c")
+				served := 0
+				for range 30 {
+					if send(t, r) == nil {
+						served++
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				is.True(served >= 29) // the first request may meet it at each attempt
+			})
+		})
+	}
+}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -251,8 +251,11 @@
 		r.recordAnswer(e)
 	}
 	outcome := result.outcome
-	if outcome.ConnectionFailed() && !result.pathLost && r.isDetoured(s.Upstream.Address) {
+	switch {
+	case outcome.ConnectionFailed() && !result.pathLost && r.isDetoured(s.Upstream.Address):
 		outcome = placement.Canceled // it is this instance's path that failed; the next attempt takes a detour
+	case outcome == placement.Silent && result.detour != nil:
+		outcome = placement.Canceled // it is the path to the other instance
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
