node/exchange: broken tunnels are no evidence against a version

Operators would have seen: a good version rolled back because an instance ended that carried connections to it. Cause: the outcome Broken of an attempt through another instance was recorded as a failure of its version. Test: TestBrokenTunnelsStopNoRollOut failed before: the roll-out was stopped after 6 broken tunnels ("6 != 60").

--- a/node/exchange/detours_test.go
+++ b/node/exchange/detours_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"banyanyard/core/member"
+	"banyanyard/core/placement"
 	"banyanyard/core/reach"
 	"banyanyard/core/routing"
+	"banyanyard/core/trial"
 	"banyanyard/io/http1"
 	"banyanyard/io/tunnel"
 
@@ -123,3 +125,34 @@
 		})
 	}
 }
+
+// TestBrokenTunnelsStopNoRollOut guards against a good version that is stopped because
+// instances ended through which its upstreams were connected to.
+func TestBrokenTunnelsStopNoRollOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(4)
+		defer r.Log.Close()
+		r.SetUpstreamsKnown()
+		r.Bounds.Trial.ExposeSlack = 100
+		r.WithFleet(func(now time.Time, f *placement.Fleet) {
+			f.Register(now, placement.Upstream{ID: "new", Service: "s", Address: "new", FailureDomain: "d0", Version: "v2", Slots: 4})
+		})
+		r.StartTrial(trial.Order{Service: "s", To: "v2", Revision: 1, Duration: time.Minute})
+		broken := 0
+		r.Transport = contextTransport(func(_ context.Context, a *Attempt) (Answer, error) {
+			if a.Upstream.Version == "v2" && a.Detour != nil {
+				broken++
+				return nil, &http1.BrokenError{Address: a.Upstream.Address, Cause: syscall.ECONNRESET}
+			}
+			return &wholeAnswer{}, nil
+		})
+		for n := 0; broken < 60 && n < 2000; n++ {
+			loseAllPaths(r, "b")
+			_ = send(t, r)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(broken, 60)
+		is.Equal(trialState(r, "s"), "running")
+	})
+}
