core/reach: a false conclusion ends with the first check

Cause: where several upstreams are down for all and the others answer on open connections only, an instance may conclude that all paths are lost. It checked one address each half second in order of names, and the first check waited for the next timer, up to 2 s: with ten upstreams down it took 5 s. Change: the paths that answered last are checked first, and the conclusion wakes the loop. Addresses are no longer copied when nothing is detoured. Test: TestPathThatAnsweredLastIsCheckedFirst failed before: u1 was checked first.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -74,6 +74,7 @@
 type path struct {
 	opened   time.Time // when the last direct connection was opened; zero for never
 	heard    time.Time // when the upstream last answered on a direct connection; zero for never
+	checked  time.Time // when the direct path was last checked; zero for never
 	failed   time.Time // first failure since then; zero for none
 	last     time.Time // last failure since then
 	failures int       // since then
@@ -152,7 +153,6 @@
 	nextAsk     time.Time
 	askInterval time.Duration
 	nextCheck   time.Time
-	checked     string // address that was checked last
 }
 
 func (t *Table) path(address string) *path {
@@ -396,7 +396,8 @@
 }
 
 // Checks returns those of the addresses in use whose direct paths are to be checked now, by
-// opening a connection.
+// opening a connection: those first that were checked longest ago, and of these the ones that
+// answered last.
 func (t *Table) Checks(now time.Time, addresses []string) []string {
 	if now.Before(t.nextCheck) || !t.Detours() {
 		return nil
@@ -410,14 +411,18 @@
 		detoured, _ := t.Detoured(a)
 		return !detoured
 	})
-	if len(due) == 0 {
-		return nil
-	}
 	slices.Sort(due)
-	after, _ := slices.BinarySearch(due, t.checked+"\x00") // the first one behind the last checked
-	due = append(due[after:], due[:after]...)
+	slices.SortStableFunc(due, func(a, b string) int {
+		p, q := t.path(a), t.path(b)
+		if c := p.checked.Compare(q.checked); c != 0 {
+			return c
+		}
+		return q.heard.Compare(p.heard)
+	})
 	due = due[:min(len(due), limit)]
-	t.checked = due[len(due)-1]
+	for _, address := range due {
+		t.path(address).checked = now
+	}
 	return due
 }
 
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -122,6 +122,22 @@
 	return table
 }
 
+// TestPathThatAnsweredLastIsCheckedFirst guards against a false conclusion that lasts until the
+// addresses before it have been checked.
+func TestPathThatAnsweredLastIsCheckedFirst(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.RecordHeard(at(time.Second), "u4")
+	table.RecordHeard(at(1900*ms), "u5")
+	known := []string{"u1", "u2", "u3", "u4", "u5"}
+	table.RecordFailed(at(1800*ms), "u1", Refused)
+	table.RecordFailed(at(1900*ms), "u2", Refused)
+	table.RecordAnswer(at(2*time.Second), peers[0], &Question{At: at(2 * time.Second)}, Answer{AnyReached: 10 * ms})
+	is.True(table.Lost())
+	is.Equal(table.Checks(at(2*time.Second), known), []string{"u5"})
+	is.Equal(table.Checks(at(2500*ms), known), []string{"u4"})
+}
+
 // TestQuestionsWhileAllPathsAreLost guards against questions whenever another path is found to
 // fail: at large deployments these are many, and all are detoured already.
 func TestQuestionsWhileAllPathsAreLost(t *testing.T) {
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -102,9 +102,13 @@
 	if ended {
 		r.Log.Line("path").Str("address", address).Str("state", "direct").End()
 	}
-	if err == nil {
-		return
+	if err != nil {
+		d.signal()
 	}
+}
+
+// signal makes RunDetours look whether something is due.
+func (d *detours) signal() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -225,15 +229,22 @@
 		r.Log.Line("path").Str("address", "all").Str("state", "detoured").Str("reached-by", from.Instance).Millis("reached-ms", a.AnyReached).End()
 	}
 	if lost || len(detoured) > 0 {
+		d.signal()
 		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(r.isDetoured) })
 	}
 }
 
 // checkPaths checks direct paths if that is due.
 func (r *Router) checkPaths(ctx context.Context, connect func(ctx context.Context, address string) error) {
+	d := &r.detours
+	d.mu.Lock()
+	detours := d.table.Detours()
+	d.mu.Unlock()
+	if !detours {
+		return
+	}
 	var addresses []string
 	r.WithFleet(func(_ time.Time, f *placement.Fleet) { addresses = f.Addresses() })
-	d := &r.detours
 	d.mu.Lock()
 	due := d.table.Checks(time.Now(), addresses)
 	d.mu.Unlock()
