io/http1, platform: open connections that live on are used before a detour

Cause: while new connections to an upstream are refused, open ones may live on. Change: Request.Open is used only if no idle connection is; the attempt then counts as direct. Test: TestOpenConnectionIsUsedBeforeAnotherIsOpened failed before ("not needed").

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -116,8 +116,8 @@
 	// UserTimeout is how long the upstream may acknowledge or read nothing; 0 means the
 	// default of package tcp.
 	UserTimeout time.Duration
-	// Open, if not nil, opens the connection of this request in place of Client.Dial. The
-	// connection carries no other request, and DialTimeout and UserTimeout do not apply to it.
+	// Open, if not nil, opens the connection of this request in place of Client.Dial, unless
+	// an idle one is used. The connection carries no other request, and DialTimeout and UserTimeout do not apply to it.
 	// size is the number of bytes of the request.
 	Open func(ctx context.Context, address string, size int64) (net.Conn, error)
 }
@@ -139,6 +139,7 @@
 	reader        *ResponseReader
 	address       string
 	reused        bool
+	single        bool          // opened by Request.Open
 	usableUntil   time.Time     // when the idle connection expires
 	userTimeout   time.Duration // see Request.UserTimeout
 	giveUp        func() bool   // decides whether a read fails at its deadline; nil means that it does
@@ -169,21 +170,14 @@
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
 		EndsWithConn: EndsWithConn(response),
-		body:         response.Body, connClose: response.Close || !r.echoedBy(response) || r.Open != nil, client: c, conn: cn, ctx: ctx, giveUp: r.GiveUp}, nil
+		body:         response.Body, connClose: response.Close || !r.echoedBy(response) || cn.single, client: c, conn: cn, ctx: ctx, giveUp: r.GiveUp}, nil
 }
 
 // getConn returns a connection for a request of size bytes.
 func (c *Client) getConn(ctx context.Context, address string, r *Request, size int64) (*conn, error) {
-	if r.Open != nil {
-		raw, err := r.Open(ctx, address, size)
-		if err != nil {
-			return nil, err
-		}
-		return newConn(raw, address), nil
-	}
-	cn, err := c.idleOrNew(ctx, address, r)
-	if err != nil {
-		return nil, err
+	cn, err := c.idleOrNew(ctx, address, r, size)
+	if err != nil || cn.single {
+		return cn, err
 	}
 	if err := cn.setUserTimeout(r.UserTimeout); err != nil {
 		_ = cn.Close()
@@ -193,12 +187,21 @@
 }
 
 // idleOrNew returns an idle connection or opens a new one.
-func (c *Client) idleOrNew(ctx context.Context, address string, r *Request) (*conn, error) {
+func (c *Client) idleOrNew(ctx context.Context, address string, r *Request, size int64) (*conn, error) {
 	if !r.NewConn {
 		if cn := c.takeIdle(address); cn != nil {
 			return cn, nil
 		}
 	}
+	if r.Open != nil {
+		raw, err := r.Open(ctx, address, size)
+		if err != nil {
+			return nil, err
+		}
+		cn := newConn(raw, address)
+		cn.single = true
+		return cn, nil
+	}
 	if r.DialTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, r.DialTimeout)
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -100,7 +100,7 @@
 	// transport's default.
 	SilenceTimeout time.Duration
 	// Detour is the instance through which a new connection to the upstream is opened; nil
-	// for a direct one.
+	// for a direct one. Send sets it to nil if it uses an open connection instead.
 	Detour *Detour
 }
 
