node/mesh: questions about paths have connections of their own

Cause: a question that was not answered within 0.3 s closed the connection to that instance, and with it the probes and rows under way on it, which may make a slow instance suspect. Change: a client of its own; its connections are opened only when there is a question. Measured: go test ./node/mesh, ./platform -run 'Cut|Detour'.

--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -91,13 +91,16 @@
 // A Mesh connects one instance to the others. Its methods are safe for concurrent
 // use. Create it with New.
 type Mesh struct {
-	self    member.Identity
-	events  EventHandler
-	log     *jsonlog.Logger
-	client  *peer.Client
-	traffic peer.Traffic
-	calls   chan func(*state) // run by the loop
-	store   StoreFollower
+	self   member.Identity
+	events EventHandler
+	log    *jsonlog.Logger
+	client *peer.Client
+	// reachClient has connections of its own: a question that is not answered in time closes its
+	// connection, which must not be that of the probes.
+	reachClient *peer.Client
+	traffic     peer.Traffic
+	calls       chan func(*state) // run by the loop
+	store       StoreFollower
 
 	followsStore  atomic.Bool
 	followsAll    atomic.Bool
@@ -151,6 +154,7 @@
 func New(self member.Identity, events EventHandler, store StoreFollower, log *jsonlog.Logger, dial tcp.DialFunc) *Mesh {
 	m := &Mesh{self: self, events: events, store: store, log: log, calls: make(chan func(*state), callBacklog), created: time.Now()}
 	m.client = peer.NewClient(dial, nil, &m.traffic)
+	m.reachClient = peer.NewClient(dial, nil, &m.traffic)
 	return m
 }
 
@@ -161,6 +165,7 @@
 	server.OnAcceptError = func(err error) { m.log.Line("accept-failed").Str("listener", "peers").Err(err).End() }
 	defer server.Close()
 	defer m.client.Close()
+	defer m.reachClient.Close()
 	go m.runLoop(ctx, seeds)
 	go func() {
 		<-ctx.Done()
@@ -277,7 +282,7 @@
 func (m *Mesh) AskReach(ctx context.Context, address string, q reach.Question) (reach.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	return m.client.Reach(ctx, address, q)
+	return m.reachClient.Reach(ctx, address, q)
 }
 
 // BytesSent returns the number of bytes sent to other instances.
