core/member: the address for tunnels is adopted also if an earlier release told of the member first

Cause: a status of the same version without the address, passed on by an instance that does not know the field, was kept until the member's incarnation rose: in a rolling update such a member was never connected through. Read in a review. Change: a status of the same version that adds the address is adopted. Test: TestAddressForTunnelsIsAdopted fails on the code before.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -158,7 +158,7 @@
 		return d.refute(s)
 	}
 	m := d.members[s.ID]
-	if m != nil && s.Version() <= m.Version() {
+	if m != nil && s.Version() <= m.Version() && !m.lacks(&s) {
 		return false
 	}
 	if m == nil {
@@ -171,6 +171,12 @@
 	return true
 }
 
+// lacks reports whether the known status is of the same version and has no address for tunnels:
+// an instance of an earlier release has passed it on.
+func (m *member) lacks(s *Status) bool {
+	return s.Version() == m.Version() && m.TunnelAddress == "" && s.TunnelAddress != ""
+}
+
 // refute overrides a status of this instance by raising its incarnation.
 func (d *Detector) refute(s Status) bool {
 	if s.Incarnation < d.self.Incarnation || s.Version() <= d.self.Version() {
@@ -341,10 +347,7 @@
 			d.setStatus(now, m, gone)
 		}
 	}
-	m := d.members[s.ID]
-	if m == nil || s.Version() > m.Version() {
-		d.Merge(now, s)
-	}
+	d.Merge(now, s)
 	if m := d.members[s.ID]; m != nil {
 		m.probeSentAt = time.Time{}
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -305,3 +305,20 @@
 		})
 	}
 }
+
+// TestAddressForTunnelsIsAdopted guards against members that are never connected through, because
+// an instance of an earlier release, which does not know the address, told of them first.
+func TestAddressForTunnelsIsAdopted(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := New(Identity{ID: "a", Instance: "a", Address: "1"}, 1, 1)
+	full := Status{Identity: Identity{ID: "b", Instance: "b", Address: "2", TunnelAddress: "3"}, Incarnation: 7}
+	partial := full
+	partial.TunnelAddress = ""
+	is.True(d.Merge(now, partial))
+	is.True(d.Merge(now, full))
+	is.True(!d.Merge(now, partial))
+	is.True(!d.Merge(now, full))
+	known, _ := d.Get("b")
+	is.Equal(known.TunnelAddress, "3")
+}
