node/exchange: an upstream whose path is back is used at once

Cause: what counted against an upstream while nobody could be gone through outlasted the end of the detour. Change: a direct connection that ends a detour clears it. Test: TestUpstreamIsUsedOnceItsPathIsBack failed before: "no upstream of service \"s\" is available (upstreams-busy)".

--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -101,6 +101,7 @@
 	d.mu.Unlock()
 	if ended {
 		r.Log.Line("path").Str("address", address).Str("state", "direct").End()
+		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(func(a string) bool { return a == address }) })
 	}
 	if err != nil {
 		d.signal()
--- a/node/exchange/detours_test.go
+++ b/node/exchange/detours_test.go
@@ -156,3 +156,30 @@
 		is.Equal(trialState(r, "s"), "running")
 	})
 }
+
+// TestUpstreamIsUsedOnceItsPathIsBack guards against upstreams that count as unreachable after
+// the end of a detour, for what was seen while no instance could be gone through.
+func TestUpstreamIsUsedOnceItsPathIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter(1)
+		defer r.Log.Close()
+		r.SetUpstreamsKnown()
+		cut := true
+		r.Transport = contextTransport(func(_ context.Context, a *Attempt) (Answer, error) {
+			if cut {
+				return nil, directlyRefused(a)
+			}
+			return &wholeAnswer{}, nil
+		})
+		loseAllPaths(r, "b")
+		r.SetPeers(nil, nil) // the other instance has ended
+		for range 20 {
+			is.True(send(t, r) != nil)
+			time.Sleep(100 * time.Millisecond)
+		}
+		cut = false
+		r.RecordDial("0", nil, time.Millisecond)
+		is.NoErr(send(t, r))
+	})
+}
