core/reach: an instance whose connections all fail does not offer itself

Cause: an instance said that it had lost its paths only once another had proved it, which nobody can when all are cut off. Change: it says so as soon as several of its connections failed and none has opened since. Test: TestAnswer, "several fail, and none has opened since", fails on the code before.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -107,7 +107,7 @@
 type Answer struct {
 	Reached    []time.Duration `json:"reached"`     // since each address of the question was reached
 	AnyReached time.Duration   `json:"any-reached"` // since any upstream was reached
-	Lost       bool            `json:"lost"`        // it has lost its own paths
+	Lost       bool            `json:"lost"`        // it has lost its own paths, or cannot tell
 	Tunnels    int             `json:"tunnels"`     // that it serves
 }
 
@@ -367,7 +367,18 @@
 // concludeLoss concludes that all paths are lost, if enough of them fail, and reports whether
 // they are.
 func (t *Table) concludeLoss(now time.Time) bool {
-	failing, silent := 0, 0
+	failing, silent := t.failing(now)
+	t.lost = failing >= minSuspects
+	t.lostSilent = 2*silent > failing
+	return t.lost
+}
+
+// failing returns the number of paths that fail since a direct connection was last opened, and
+// how many of them are silent.
+func (t *Table) failing(now time.Time) (failing, silent int) {
+	if t.failed.IsZero() {
+		return 0, 0
+	}
 	for _, p := range t.paths {
 		if p.failures == 0 || p.failed.Before(t.failed) || now.Sub(p.last) >= failureRetention {
 			continue
@@ -377,9 +388,7 @@
 			silent++
 		}
 	}
-	t.lost = failing >= minSuspects
-	t.lostSilent = 2*silent > failing
-	return t.lost
+	return failing, silent
 }
 
 func (t *Table) helper(p Peer) *helper {
@@ -536,7 +545,8 @@
 
 // Answer returns what this instance has seen.
 func (t *Table) Answer(now time.Time, q *Question) Answer {
-	a := Answer{AnyReached: age(now, t.heard), Lost: t.lost}
+	failing, _ := t.failing(now)
+	a := Answer{AnyReached: age(now, t.heard), Lost: t.lost || failing >= minSuspects}
 	if len(t.suspects(now)) > 0 {
 		a.AnyReached = age(now, t.opened)
 	}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -329,6 +329,16 @@
 			table.RecordFailed(at(500*ms), "u1", Refused)
 			table.RecordHeard(at(600*ms), "u1")
 		}, want: Answer{Reached: []time.Duration{-1}, AnyReached: time.Second}},
+		{name: "several fail, and none has opened since", before: func(table *Table) {
+			table.RecordOpened(at(0), "u2")
+			table.RecordFailed(at(500*ms), "u1", Refused)
+			table.RecordFailed(at(500*ms), "u3", Refused)
+		}, want: Answer{Reached: []time.Duration{-1}, AnyReached: time.Second, Lost: true}},
+		{name: "several fail, and another has opened since", before: func(table *Table) {
+			table.RecordFailed(at(500*ms), "u1", Refused)
+			table.RecordFailed(at(500*ms), "u3", Refused)
+			table.RecordOpened(at(600*ms), "u2")
+		}, want: Answer{Reached: []time.Duration{-1}, AnyReached: 400 * ms}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
