core/reach: others are asked soon once none can be gone through

Cause: the time between questions grew to 2 s whatever happened, and half of each question went to the own failure domain, cut off or not. Change: a question is due at once where an instance is left out, none can be chosen or a new one starts; at most a second passes while anything is detoured; those that have just said that they are lost are asked last. Test: TestOthersAreAskedSoonOnceNoneCanBeGoneThrough, TestThoseThatAreLostAreAskedLast; both fail on the code before.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -169,6 +169,9 @@
 
 // SetPeers replaces the other instances that live and take connections.
 func (t *Table) SetPeers(peers []Peer) {
+	if slices.ContainsFunc(peers, func(p Peer) bool { return !t.Knows(p.ID) }) {
+		t.askSoon()
+	}
 	t.peers = slices.Clone(peers)
 	known := map[string]bool{}
 	for _, p := range peers {
@@ -209,7 +212,9 @@
 	p := t.path(address)
 	if p.failures == 0 || !p.detoured && now.Sub(p.last) >= failureRetention {
 		p.failed, p.failures = now, 0
-		t.askSoon()
+		if !t.lost {
+			t.askSoon() // otherwise it would change nothing
+		}
 	}
 	p.last = now
 	p.failures++
@@ -220,12 +225,8 @@
 	t.lastFailed = now
 }
 
-// askSoon makes a question due as soon as the minimum time since the last one has passed,
-// unless it would change nothing.
+// askSoon makes a question due as soon as the minimum time since the last one has passed.
 func (t *Table) askSoon() {
-	if t.lost {
-		return
-	}
 	t.askInterval = 0
 	if soon := t.asked.Add(minAskInterval); soon.Before(t.nextAsk) {
 		t.nextAsk = soon
@@ -289,9 +290,12 @@
 		t.askInterval = detourAskInterval
 	} else {
 		t.askInterval = min(max(2*t.askInterval, minAskInterval), maxAskInterval)
+		if t.Detours() {
+			t.askInterval = min(t.askInterval, detourAskInterval)
+		}
 	}
 	t.asked, t.nextAsk = now, now.Add(t.askInterval)
-	return &Question{Addresses: t.nextAsked(suspects), At: now}, t.choosePeers(random, n)
+	return &Question{Addresses: t.nextAsked(suspects), At: now}, t.choosePeers(now, random, n)
 }
 
 // nextAsked returns the addresses of a question: those whose paths fail for an unknown reason,
@@ -313,8 +317,8 @@
 }
 
 // choosePeers returns up to n random peers, half of them of this failure domain if there
-// are as many.
-func (t *Table) choosePeers(random *rand.Rand, n int) []Peer {
+// are as many. Those that have just said that they are lost come last.
+func (t *Table) choosePeers(now time.Time, random *rand.Rand, n int) []Peer {
 	var near, far []Peer
 	for _, p := range t.peers {
 		if p.FailureDomain == t.Domain {
@@ -326,10 +330,19 @@
 	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	nearCount := min(len(near), max(n/2, n-len(far)))
-	chosen := append(near[:nearCount:nearCount], far...)
+	chosen := slices.Concat(near[:nearCount], far, near[nearCount:])
+	slices.SortStableFunc(chosen, func(a, b Peer) int { return cmp.Compare(t.lostRank(now, a.ID), t.lostRank(now, b.ID)) })
 	return chosen[:min(len(chosen), n)]
 }
 
+// lostRank returns 1 for a peer that has just said that it is lost, and 0 for others.
+func (t *Table) lostRank(now time.Time, id string) int {
+	if h := t.helpers[id]; h != nil && !h.fit && now.Sub(h.answered) < detourAskInterval {
+		return 1
+	}
+	return 0
+}
+
 // RecordAnswer records the answer of an instance. It returns the addresses whose paths are
 // detoured from now on, and whether all paths count as lost from now on.
 func (t *Table) RecordAnswer(now time.Time, from Peer, q *Question, a Answer) (detoured []string, lost bool) {
@@ -463,6 +476,7 @@
 		best = other
 	}
 	if best == nil {
+		t.askSoon()
 		return Peer{}, false
 	}
 	best.started++
@@ -503,6 +517,7 @@
 func (t *Table) Avoid(now time.Time, id string) {
 	if h := t.helpers[id]; h != nil {
 		h.avoid = now.Add(avoidTime)
+		t.askSoon()
 	}
 }
 
@@ -539,7 +554,7 @@
 		return false
 	}
 	clear(h.failed)
-	h.avoid = now.Add(avoidTime)
+	t.Avoid(now, id)
 	return true
 }
 
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -239,6 +239,55 @@
 	}
 }
 
+// TestOthersAreAskedSoonOnceNoneCanBeGoneThrough guards against an instance that waits for its next
+// question while those that it went through are cut off as well.
+func TestOthersAreAskedSoonOnceNoneCanBeGoneThrough(t *testing.T) {
+	tests := []struct {
+		name  string
+		event func(*Table)
+	}{
+		{name: "one is avoided", event: func(table *Table) { table.Avoid(at(2200*ms), "b-1") }},
+		{name: "one cannot connect", event: func(table *Table) {
+			table.RecordTunnelFailed(at(2200*ms), "b-1", "u1")
+			table.RecordTunnelFailed(at(2200*ms), "b-1", "u2")
+		}},
+		{name: "another one starts", event: func(table *Table) { table.SetPeers(append(peers, Peer{ID: "e-1"})) }},
+		{name: "none is left", event: func(table *Table) {
+			for _, p := range peers {
+				table.helpers[p.ID].fit = false
+			}
+			table.Choose(at(2200*ms), newRandom(), "u1")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := lostTable(is)
+			q, _ := table.Ask(at(2*time.Second+10*ms), newRandom(), 3)
+			for now := 2 * time.Second; q == nil; now += 10 * ms {
+				q, _ = table.Ask(at(now), newRandom(), 3)
+			}
+			asked := table.asked
+			table.nextAsk = asked.Add(detourAskInterval)
+			tt.event(table)
+			is.Equal(table.nextAsk, asked.Add(minAskInterval))
+		})
+	}
+}
+
+// TestThoseThatAreLostAreAskedLast guards against questions to the rest of a failure domain that is
+// cut off, round after round.
+func TestThoseThatAreLostAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	table := lostTable(is)
+	for _, p := range peers[:2] {
+		table.RecordAnswer(at(2100*ms), p, &Question{}, Answer{AnyReached: ms, Lost: true})
+	}
+	for range 10 {
+		is.Equal(table.choosePeers(at(2200*ms), newRandom(), 1), peers[2:])
+	}
+}
+
 // TestManyDetouredAddresses guards against addresses of which no instance is ever asked.
 func TestManyDetouredAddresses(t *testing.T) {
 	is := is.New(t)
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -74,6 +74,7 @@
 	r.detours.mu.Lock()
 	defer r.detours.mu.Unlock()
 	r.detours.table.SetPeers(peers)
+	r.detours.signal()
 }
 
 // RecordDial records that a direct connection to an upstream was opened, or that it could
@@ -101,7 +102,9 @@
 	d.mu.Unlock()
 	if ended {
 		r.Log.Line("path").Str("address", address).Str("state", "direct").End()
-		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(func(a string) bool { return a == address }) })
+		r.WithFleet(func(_ time.Time, f *placement.Fleet) {
+			f.ForgetUnreachable(func(a string) bool { return a == address })
+		})
 	}
 	if err != nil {
 		d.signal()
@@ -147,6 +150,7 @@
 		doubted = d.table.RecordTunnelFailed(now, id, a.Upstream.Address)
 	}
 	d.mu.Unlock()
+	d.signal()
 	if doubted {
 		r.Log.Line("path").Str("instance", a.Detour.Peer.Instance).Str("state", "doubted").Err(err).End()
 		r.WithFleet(func(_ time.Time, f *placement.Fleet) { f.ForgetUnreachable(r.isDetoured) })
@@ -278,6 +282,7 @@
 	}
 	p, ok := d.table.Choose(time.Now(), d.random, address)
 	if !ok {
+		d.signal()
 		return nil
 	}
 	return &Detour{Peer: p, Silent: silent}
