platform, core/reach: instances that stop still open connections for others for a while

Cause: an instance refused connections for others as soon as its stop began, and was not asked any more, though it reaches the upstreams for seconds; one that stops while it is cut off was refused itself. Test: TestChoose, "stops", "all stop"; the latter fails on the code before.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -94,6 +94,7 @@
 	Address       string // IP:port for calls
 	Tunnel        string // IP:port for tunnels
 	FailureDomain string
+	Leaving       bool // it stops soon, and is used if no other can be
 }
 
 // A Question asks other instances which addresses they have reached.
@@ -124,9 +125,9 @@
 	failed   map[string]bool      // addresses that it could not connect to since it last did to any
 }
 
-// avoided reports whether the helper is left out for an address.
-func (h *helper) avoided(now time.Time, address string) bool {
-	return now.Before(h.avoid) || now.Before(h.refuses[address])
+// usable reports whether connections to an address can be opened through the helper.
+func (h *helper) usable(now time.Time, address string) bool {
+	return h.fit && now.Sub(h.answered) < answerRetention && !now.Before(h.avoid) && !now.Before(h.refuses[address])
 }
 
 // reachesNow reports whether it has reached an address lately.
@@ -167,12 +168,17 @@
 	return p
 }
 
-// SetPeers replaces the other instances that live and take connections.
+// SetPeers replaces the other instances that live.
 func (t *Table) SetPeers(peers []Peer) {
 	if slices.ContainsFunc(peers, func(p Peer) bool { return !t.Knows(p.ID) }) {
 		t.askSoon()
 	}
 	t.peers = slices.Clone(peers)
+	for _, p := range peers {
+		if h := t.helpers[p.ID]; h != nil {
+			h.Peer = p
+		}
+	}
 	known := map[string]bool{}
 	for _, p := range peers {
 		known[p.ID] = true
@@ -317,7 +323,7 @@
 }
 
 // choosePeers returns up to n random peers, half of them of this failure domain if there
-// are as many. Those that have just said that they are lost come last.
+// are as many. Those that stop, and those that have just said that they are lost, come last.
 func (t *Table) choosePeers(now time.Time, random *rand.Rand, n int) []Peer {
 	var near, far []Peer
 	for _, p := range t.peers {
@@ -331,13 +337,17 @@
 	random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	nearCount := min(len(near), max(n/2, n-len(far)))
 	chosen := slices.Concat(near[:nearCount], far, near[nearCount:])
-	slices.SortStableFunc(chosen, func(a, b Peer) int { return cmp.Compare(t.lostRank(now, a.ID), t.lostRank(now, b.ID)) })
+	slices.SortStableFunc(chosen, func(a, b Peer) int { return cmp.Compare(t.askRank(now, &a), t.askRank(now, &b)) })
 	return chosen[:min(len(chosen), n)]
 }
 
-// lostRank returns 1 for a peer that has just said that it is lost, and 0 for others.
-func (t *Table) lostRank(now time.Time, id string) int {
-	if h := t.helpers[id]; h != nil && !h.fit && now.Sub(h.answered) < detourAskInterval {
+// askRank returns the rank of a peer by the use of asking it; lower is better.
+func (t *Table) askRank(now time.Time, p *Peer) int {
+	h := t.helpers[p.ID]
+	switch {
+	case h != nil && !h.fit && now.Sub(h.answered) < detourAskInterval:
+		return 2 // it has just said that it is lost
+	case p.Leaving:
 		return 1
 	}
 	return 0
@@ -457,9 +467,13 @@
 // chosen at random, the one with fewer tunnels gets it, of this failure domain unless those
 // have many more.
 func (t *Table) Choose(now time.Time, random *rand.Rand, address string) (Peer, bool) {
+	staying := false
+	for _, h := range t.helpers {
+		staying = staying || !h.Leaving && h.usable(now, address)
+	}
 	var all, sure []*helper
 	for _, h := range t.helpers {
-		if !h.fit || now.Sub(h.answered) >= answerRetention || h.avoided(now, address) {
+		if !h.usable(now, address) || h.Leaving && staying {
 			continue
 		}
 		all = append(all, h)
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -197,6 +197,16 @@
 			table.RecordTunnelFailed(at(2*time.Second), "b-1", "u2")
 		}, want: []string{"b"}},
 		{name: "gone", before: func(table *Table) { table.SetPeers(peers[1:2]) }, want: []string{"c"}},
+		{name: "stops", before: func(table *Table) {
+			stopping := slices.Clone(peers)
+			stopping[0].Leaving = true
+			table.SetPeers(stopping)
+		}, want: []string{"c", "d"}},
+		{name: "all stop", before: func(table *Table) {
+			stopping := slices.Clone(peers[:1])
+			stopping[0].Leaving = true
+			table.SetPeers(stopping)
+		}, want: []string{"b"}},
 		{name: "has lost its paths", before: func(table *Table) {
 			table.RecordAnswer(at(2*time.Second), peers[0], &Question{}, Answer{AnyReached: ms, Lost: true})
 		}, want: []string{"c", "d"}},
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -63,12 +63,12 @@
 func (r *Router) SetTunnelCount(count func() int) { r.detours.tunnels = count }
 
 // SetPeers replaces the other instances through which connections to upstreams may go: those
-// that live, and that accepts allows.
+// that live, also while they stop, and that accepts allows.
 func (r *Router) SetPeers(all []member.Status, accepts func(member.Status) bool) {
 	var peers []reach.Peer
 	for _, m := range all {
-		if m.State == member.Live && m.Instance != r.instance && m.TunnelAddress != "" && accepts(m) {
-			peers = append(peers, reach.Peer{ID: m.ID, Instance: m.Instance, Address: m.Address, Tunnel: m.TunnelAddress, FailureDomain: m.FailureDomain})
+		if m.State <= member.Leaving && m.Instance != r.instance && m.TunnelAddress != "" && accepts(m) {
+			peers = append(peers, reach.Peer{ID: m.ID, Instance: m.Instance, Address: m.Address, Tunnel: m.TunnelAddress, FailureDomain: m.FailureDomain, Leaving: m.State == member.Leaving})
 		}
 	}
 	r.detours.mu.Lock()
