node/exchange: connections that break because this instance lost its paths are no crashes

Cause: a crash was reported 30 ms after the connections broke, before anyone had been asked whether it is the path. Change: where connections to several upstreams broke within 100 ms, or several cannot be opened, a report waits 300 ms more, and is dropped if the upstream is then detoured. Test: TestLostPathsAreNoCrashes/paths_are_lost failed before ("3 != 0").

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -396,6 +396,13 @@
 	return t.lost
 }
 
+// Doubtful reports whether several paths fail, or any is detoured, so that a connection that
+// breaks may tell of its path rather than of its upstream.
+func (t *Table) Doubtful(now time.Time) bool {
+	failing, _ := t.failing(now)
+	return failing >= minSuspects || t.Detours()
+}
+
 // failing returns the number of paths that fail since a direct connection was last opened, and
 // how many of them are silent.
 func (t *Table) failing(now time.Time) (failing, silent int) {
--- a/node/exchange/crash_monitor.go
+++ b/node/exchange/crash_monitor.go
@@ -34,9 +34,11 @@
 
 // A crashReport collects the attempts of this instance that broke with an upstream.
 type crashReport struct {
+	address    string    // of the upstream
 	at         time.Time // of the first broken attempt
 	candidates []suspect.Candidate
 	scheduled  bool // a flush is scheduled
+	held       bool // it waited, since the path may be at fault
 }
 
 func newCrashMonitor() crashMonitor {
--- a/node/exchange/crashes.go
+++ b/node/exchange/crashes.go
@@ -18,6 +18,12 @@
 	// crashReportDelay is the time after the first broken attempt at an upstream in
 	// which the others break too if it has crashed.
 	crashReportDelay = 30 * time.Millisecond
+	// pathReportDelay is how much longer a report waits if this instance's paths may be at
+	// fault: the time in which it asks others.
+	pathReportDelay = 300 * time.Millisecond
+	// brokenTogether is the time within which connections to several upstreams break if a
+	// path that they share is lost.
+	brokenTogether = 100 * time.Millisecond
 	// crashReportRetention is how long attempts that break later are added to a report.
 	crashReportRetention = 2 * time.Second
 	// startedWriting is the time after the first event of an answer from which its
@@ -77,7 +83,7 @@
 	defer m.mu.Unlock()
 	report := m.reports[start]
 	if report == nil {
-		report = &crashReport{at: time.Now()}
+		report = &crashReport{address: slot.Upstream.Address, at: time.Now()}
 		m.reports[start] = report
 		time.AfterFunc(crashReportRetention, func() {
 			m.mu.Lock()
@@ -108,6 +114,14 @@
 			return
 		}
 	}
+	switch {
+	case !report.held && r.pathsDoubtful(report.at):
+		report.held, report.scheduled = true, true
+		time.AfterFunc(pathReportDelay, func() { r.flushCrash(start) })
+		return
+	case report.held && r.isDetoured(report.address):
+		return // the connections broke because this instance lost its path
+	}
 	candidates := slices.Clone(report.candidates)
 	slices.SortStableFunc(candidates, func(a, b suspect.Candidate) int {
 		switch {
@@ -125,6 +139,21 @@
 	r.publish(crashKeyPrefix+start+"/"+r.instance, uint64(len(candidates)), reported)
 }
 
+// pathsDoubtful reports whether connections to several upstreams broke at about a time, or
+// cannot be opened, as happens when this instance loses its paths. The caller holds the
+// monitor's mutex.
+func (r *Router) pathsDoubtful(at time.Time) bool {
+	together := 0
+	for _, other := range r.crashes.reports {
+		if other.at.Sub(at).Abs() < brokenTogether {
+			together++
+		}
+	}
+	r.detours.mu.Lock()
+	defer r.detours.mu.Unlock()
+	return together > 1 || r.detours.table.Doubtful(time.Now())
+}
+
 const (
 	// crashKeyPrefix starts the keys of gossip entries that report crashes. The start
 	// of the upstream and the reporting instance follow, separated by a slash.
--- a/node/exchange/detours_test.go
+++ b/node/exchange/detours_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -183,3 +185,45 @@
 		is.NoErr(send(t, r))
 	})
 }
+
+// TestLostPathsAreNoCrashes guards against requests that are suspected of crashing upstreams
+// because this instance's connections were reset together.
+func TestLostPathsAreNoCrashes(t *testing.T) {
+	tests := []struct {
+		name      string
+		upstreams int  // whose connections break
+		lost      bool // this instance concludes then that its paths are lost
+		reported  int  // crashes
+		within    time.Duration
+	}{
+		{name: "paths are lost", upstreams: 3, lost: true, within: time.Second},
+		{name: "upstreams crash together", upstreams: 3, reported: 3, within: time.Second},
+		{name: "one crashes", upstreams: 1, reported: 1, within: 50 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRouter(6)
+				defer r.Log.Close()
+				for i := range tt.upstreams {
+					slot := &placement.Slot{Upstream: placement.Upstream{ID: fmt.Sprint("u", i), Address: fmt.Sprint(i)}}
+					e := &execution{router: r, request: &Request{ID: "1", Route: &routing.Route{}, Body: []byte{byte(i)}}}
+					r.recordBroken(e, slot, attemptResult{outcome: placement.Broken})
+				}
+				if tt.lost {
+					time.Sleep(100 * time.Millisecond)
+					loseAllPaths(r, "b")
+				}
+				time.Sleep(tt.within)
+				reported := 0
+				for len(r.outgoing) > 0 {
+					if e := <-r.outgoing; strings.HasPrefix(e.Key, crashKeyPrefix) {
+						reported++
+					}
+				}
+				is.Equal(reported, tt.reported)
+			})
+		})
+	}
+}
