node/exchange: random outcomes include those of detours

Cause: TestGuaranteesUnderRandomOutcomes drew no attempt that another instance refused, or could not connect for. Change: up to three instances exist, and paths to random upstreams are detoured; their attempts may end with a RefusedError, for one upstream or all, or an UpstreamError, as the transport returns them. There must be such attempts for each kind. One more guarantee: a refusal does not say that a request may have run if nothing of it was sent. Mutations that make it fail: a RefusedError or an UpstreamError does not say notRun, also once another instance has refused maxUnsent times ("says that the request may have run, but nothing was sent"); leaveDetour takes two upstreams off those tried (panic); detourTo returns nil ("attempts took detours").

--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +19,7 @@
 	"banyanyard/core/trial"
 	"banyanyard/io/http1"
 	"banyanyard/io/jsonlog"
+	"banyanyard/io/tunnel"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -29,12 +32,21 @@
 	t    *rapid.T
 	runs int // attempts that an upstream began to run
 	sent int // attempts of which at least one byte was sent
+	// unsent is the number of attempts that another instance did not send.
+	unsent int
 }
 
 func (f *fakeTransport) Send(_ context.Context, a *Attempt) (Answer, error) {
-	outcome := rapid.SampledFrom([]string{"unreachable", "refused", "misdirected", "failed", "broken", "late", "answered", "answered"}).Draw(f.t, "outcome")
-	if outcome == "unreachable" {
-		return nil, &http1.UnreachableError{Address: a.Upstream.Address, Cause: errors.New("no route")}
+	outcomes := []string{"unreachable", "refused", "misdirected", "failed", "broken", "late", "answered", "answered"}
+	if a.Detour != nil {
+		outcomes = append(outcomes, "tunnel refused", "tunnel refused for upstream", "upstream closed", "upstream silent")
+	}
+	outcome := rapid.SampledFrom(outcomes).Draw(f.t, "outcome")
+	if cause := unsentCause(a, outcome); cause != nil {
+		if outcome != "unreachable" {
+			f.unsent++
+		}
+		return nil, &http1.UnreachableError{Address: a.Upstream.Address, Cause: cause}
 	}
 	f.sent++
 	head := Head{Status: http.StatusOK, Confidence: -1}
@@ -59,6 +71,23 @@
 	return &fakeAnswer{head: head, after: a.LastEventID}, nil
 }
 
+// unsentCause returns the cause of an outcome without a connection; nil if there is one.
+func unsentCause(a *Attempt, outcome string) error {
+	switch outcome {
+	case "unreachable":
+		return errors.New("no route")
+	case "tunnel refused":
+		return &tunnel.RefusedError{Instance: a.Detour.Peer.Tunnel, Cause: errors.New("403: too many tunnels")}
+	case "tunnel refused for upstream":
+		return &tunnel.RefusedError{Instance: a.Detour.Peer.Tunnel, ForUpstream: true, Cause: errors.New("403: upstream is not known")}
+	case "upstream closed":
+		return &tunnel.UpstreamError{Instance: a.Detour.Peer.Tunnel, Upstream: a.Upstream.ID, Cause: syscall.ECONNREFUSED}
+	case "upstream silent":
+		return &tunnel.UpstreamError{Instance: a.Detour.Peer.Tunnel, Upstream: a.Upstream.ID, Cause: os.ErrDeadlineExceeded}
+	}
+	return nil
+}
+
 // A fakeAnswer is a stream of testEvents events, or a short body.
 type fakeAnswer struct {
 	head     Head
@@ -138,11 +167,33 @@
 	return r
 }
 
+// detourRandom adds other instances, and makes connections to some upstreams go through
+// these.
+func detourRandom(t *rapid.T, r *Router, upstreams int) {
+	ids := []string{"a", "b", "c"}[:rapid.IntRange(0, 3).Draw(t, "peers")]
+	addPeers(r, ids...)
+	if len(ids) == 0 {
+		return
+	}
+	var addresses []string
+	for i := range upstreams {
+		if rapid.Bool().Draw(t, "detoured") {
+			addresses = append(addresses, fmt.Sprint(i))
+		}
+	}
+	loseTestPaths(r, addresses...)
+	for _, id := range ids[1:] {
+		answerReached(r, id, addresses...)
+	}
+}
+
 // runRandom answers one request on the route with random outcomes. It returns the
 // transport, what the caller received, and the error.
 func runRandom(t *rapid.T, route *routing.Route) (*fakeTransport, *fakeWriter, error) {
-	r := newTestRouter(rapid.IntRange(0, 6).Draw(t, "upstreams"))
+	upstreams := rapid.IntRange(0, 6).Draw(t, "upstreams")
+	r := newTestRouter(upstreams)
 	defer r.Log.Close()
+	detourRandom(t, r, upstreams)
 	f := &fakeTransport{t: t}
 	r.Transport = f
 	out := &fakeWriter{}
@@ -157,6 +208,8 @@
 	switch {
 	case errors.As(err, &refused) && refused.Execution == refusal.NotRun && !errors.Is(err, ErrTruncated) && f.runs > 0:
 		return fmt.Errorf("the refusal %q says not run, but %d attempts ran", refused, f.runs)
+	case errors.As(err, &refused) && refused.Execution != refusal.NotRun && f.sent == 0:
+		return fmt.Errorf("the refusal %q says that the request may have run, but nothing was sent", refused)
 	case err == nil && !out.ended:
 		return errors.New("the caller received neither a whole answer nor an error")
 	case err != nil && out.ended:
@@ -191,12 +244,14 @@
 func TestGuaranteesUnderRandomOutcomes(t *testing.T) {
 	for kind := routing.NonIdempotent; kind <= routing.ResumableStream; kind++ {
 		t.Run(kind.String(), func(t *testing.T) {
+			unsent := 0
 			rapid.Check(t, func(t *rapid.T) {
 				route := &routing.Route{Name: "r", Kind: kind, MaxAttempts: rapid.IntRange(1, 4).Draw(t, "max-attempts"), GapTarget: time.Second, Split: []routing.Share{{Service: "s"}}}
 				if kind.Streaming() && rapid.Bool().Draw(t, "sizes") {
 					route.Models = []string{"small", "large"}
 				}
 				f, out, err := runRandom(t, route)
+				unsent += f.unsent
 				if err := checkGuarantees(route, f, out, err); err != nil {
 					t.Fatal(err)
 				}
@@ -206,6 +261,7 @@
 					}
 				}
 			})
+			is.New(t).True(unsent > 0) // attempts took detours
 		})
 	}
 }
