platform, core/reach, node/exchange: tests through another instance wait for its conclusion; shorter functions

Change: the set-up waits until the instance itself refuses tunnels for its lost path (ErrPathLost). What is checked is unchanged. Measured: go test ./platform ./node/exchange ./core/reach: ok; the linters are clean.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -474,24 +474,7 @@
 // chosen at random, the one with fewer tunnels gets it, of this failure domain unless those
 // have many more.
 func (t *Table) Choose(now time.Time, random *rand.Rand, address string) (Peer, bool) {
-	staying := false
-	for _, h := range t.helpers {
-		staying = staying || !h.Leaving && h.usable(now, address)
-	}
-	var all, sure []*helper
-	for _, h := range t.helpers {
-		if !h.usable(now, address) || h.Leaving && staying {
-			continue
-		}
-		all = append(all, h)
-		if h.reachesNow(now, address) {
-			sure = append(sure, h)
-		}
-	}
-	if len(sure) > 0 && !t.lost {
-		all = sure
-	}
-	near, far := splitByDomain(all, t.Domain)
+	near, far := splitByDomain(t.candidates(now, address), t.Domain)
 	best := lessLoadedOfTwo(random, near)
 	if other := lessLoadedOfTwo(random, far); best == nil || other != nil && other.load()+nearSlack < best.load() {
 		best = other
@@ -504,6 +487,36 @@
 	return best.Peer, true
 }
 
+// candidates returns the helpers through which a connection to an address may be opened: without
+// those that stop if there are others, and those that have reached it if there are any.
+func (t *Table) candidates(now time.Time, address string) []*helper {
+	var all []*helper
+	for _, h := range t.helpers {
+		if h.usable(now, address) {
+			all = append(all, h)
+		}
+	}
+	all = preferHelpers(all, func(h *helper) bool { return !h.Leaving })
+	if t.lost {
+		return all
+	}
+	return preferHelpers(all, func(h *helper) bool { return h.reachesNow(now, address) })
+}
+
+// preferHelpers returns the helpers that satisfy ok, or all if none does.
+func preferHelpers(all []*helper, ok func(*helper) bool) []*helper {
+	var preferred []*helper
+	for _, h := range all {
+		if ok(h) {
+			preferred = append(preferred, h)
+		}
+	}
+	if len(preferred) == 0 {
+		return all
+	}
+	return preferred
+}
+
 // splitByDomain returns the helpers of a failure domain and the others.
 func splitByDomain(helpers []*helper, domain string) (near, far []*helper) {
 	for _, h := range helpers {
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -288,6 +288,9 @@
 	return &Detour{Peer: p, Silent: silent}
 }
 
+// ErrPathLost reports that this instance itself has no path to an upstream.
+var ErrPathLost = errors.New("this instance has no path to the upstream")
+
 // AllowTunnel returns an error if the instance whose start has the ID may not connect to
 // the upstream through this one.
 func (r *Router) AllowTunnel(from, upstream, address string) error {
@@ -299,7 +302,7 @@
 	case !known:
 		return errors.New("the instance is not a live member of this deployment")
 	case detoured:
-		return errors.New("this instance has no path to the upstream")
+		return ErrPathLost
 	}
 	accepted := false
 	r.WithFleet(func(now time.Time, f *placement.Fleet) { accepted = f.AcceptsWorkAt(now, upstream, address) })
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -271,16 +271,13 @@
 	defer e.router.crashes.end(e)
 	answer, err := e.router.Transport.Send(ctx, a)
 	if err != nil {
+		e.router.recordDetourFailed(a, err)
 		result := e.classifySendError(ctx, err, start)
 		result.detour, result.pathLost = a.Detour, pathLost
-		e.router.recordDetourFailed(a, err)
 		return result
 	}
 	defer answer.Close()
-	e.router.recordAnswered(a)
-	e.router.recordLimit(slot, answer.Head(), start)
-	e.router.recordBrittle(slot, answer.Head())
-	e.router.recordAdmission(slot, answer.Head())
+	e.recordHead(a, slot, answer.Head(), start)
 	headLatency := time.Since(start)
 	result := e.receive(ctx, answer, slot)
 	result.took = time.Since(start)
@@ -293,6 +290,14 @@
 	return result
 }
 
+// recordHead records what the head of an answer says of its upstream.
+func (e *execution) recordHead(a *Attempt, slot *placement.Slot, head Head, sentAt time.Time) {
+	e.router.recordAnswered(a)
+	e.router.recordLimit(slot, head, sentAt)
+	e.router.recordBrittle(slot, head)
+	e.router.recordAdmission(slot, head)
+}
+
 // newAttempt returns the attempt to send to an upstream.
 func (e *execution) newAttempt(slot *placement.Slot) *Attempt {
 	a := &Attempt{
