--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -118,7 +118,7 @@
 	for _, p := range peers {
 		table.RecordAnswer(at(2*time.Second), p, q, Answer{Reached: []time.Duration{10 * ms, -1}, AnyReached: 10 * ms})
 	}
-	is.True(table.Lost())
+	is.True(table.lost)
 	return table
 }
 
@@ -133,7 +133,7 @@
 	table.RecordFailed(at(1800*ms), "u1", Refused)
 	table.RecordFailed(at(1900*ms), "u2", Refused)
 	table.RecordAnswer(at(2*time.Second), peers[0], &Question{At: at(2 * time.Second)}, Answer{AnyReached: 10 * ms})
-	is.True(table.Lost())
+	is.True(table.lost)
 	is.Equal(table.Checks(at(2*time.Second), known), []string{"u5"})
 	is.Equal(table.Checks(at(2500*ms), known), []string{"u4"})
 }
--- a/node/exchange/detours.go
+++ b/node/exchange/detours.go
@@ -243,9 +243,9 @@
 func (r *Router) checkPaths(ctx context.Context, connect func(ctx context.Context, address string) error) {
 	d := &r.detours
 	d.mu.Lock()
-	detours := d.table.Detours()
+	active := d.table.Detours()
 	d.mu.Unlock()
-	if !detours {
+	if !active {
 		return
 	}
 	var addresses []string
