node/mesh: the log tells which instance brought rows, and how old it said they were

Cause: a departure that is known late has a line (upstream, source instance), but nothing says by which relay or comparison it came, through how many instances, and what age that stated: late relays, missed relays and slow comparisons look the same. Change: rows-relayed and rows-compared, with from, rows, hops and age-ms, where rows are newer than those known. relay-ignored for a relay with rows that is dropped as seen.

--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -71,14 +71,29 @@
 	return append(entries, s.mesh.events.Introduction()...)
 }
 
-// applyRows stores rows from another instance and passes the newer ones on. A removed one
-// may come back within the given time, as far as that instance knows.
-func (s *state) applyRows(entries []gossip.Entry, mayReturnWithin time.Duration) {
+// applyRows stores rows from another instance, passes the newer ones on, and returns their
+// number. A removed one may come back within the given time, as far as that instance knows.
+func (s *state) applyRows(entries []gossip.Entry, mayReturnWithin time.Duration) (newer int) {
 	for _, e := range entries {
 		if s.replica.put(time.Now(), e) {
 			s.mesh.events.HandleRow(e, mayReturnWithin)
+			newer++
 		}
 	}
+	return newer
+}
+
+// logRows logs that rows came from another instance: relayed by a root, or from the instance
+// at an address with which they were compared.
+func (s *state) logRows(event, from string, hops, newer int, age *time.Duration) {
+	if newer == 0 {
+		return
+	}
+	line := s.mesh.log.Line(event).Str("from", from).Int("rows", int64(newer)).Int("hops", int64(hops))
+	if age != nil {
+		line.Millis("age-ms", *age)
+	}
+	line.End()
 }
 
 // probe sends a message to a member, or asks others to probe it, and passes the
@@ -176,7 +191,7 @@
 		return nil, err
 	}
 	wanted, err := runInLoop(ctx, m, func(s *state) []gossip.Entry {
-		s.applyRows(theirs.Entries, 0)
+		s.logRows("rows-compared", address, 0, s.applyRows(theirs.Entries, 0), theirs.Age)
 		return s.rowsByKey(theirs.Wanted)
 	})
 	if err != nil || len(wanted) == 0 {
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -399,6 +399,9 @@
 	return runInLoop(ctx, h.Mesh, func(s *state) peer.RowResult {
 		now := time.Now()
 		if !s.relaysSeen.First(message.Stream, message.Number) {
+			if len(entries) > 0 {
+				s.mesh.log.Line("relay-ignored").Str("from", message.Root).Int("number", int64(message.Number)).Int("rows", int64(len(entries))).End()
+			}
 			return peer.RowResult{} // the load is in the answer to the first copy
 		}
 		forwarded := message
@@ -407,7 +410,7 @@
 		if message.Age != nil {
 			s.recordRelay(now.Add(-*message.Age), message.Rank)
 		}
-		s.applyRows(entries, message.RemovalsUncertainFor)
+		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), message.Age)
 		if message.Reread {
 			s.mesh.store.Reread()
 			s.replica.rare.lastChange = now // gives the reread settleTime before rows are compared
