node/mesh: a relay vouches for rows only if those before it have arrived

Cause: a relay proves that its root has recent rows. It was taken as proof that the receiver has them, too, although a relay before it may be lost, or late, or sent while the root did not count the receiver as live. The checksums in it show the difference, but are compared only if no row has changed for 400 ms, which never is while upstreams are replaced one after the other. So the rows counted as recent, and nobody was asked. Class: a later message vouches for what earlier ones were to bring. Change: a relay names the one before it that had rows; core/relay.Coverage connects them. Equal checksums prove the rows, too. Where neither does, the instance compares its rows with those of the root at once. A root that has learnt rows from others, which it does not relay, leaves out a number, so that the others notice. Relays of an instance that does not follow all tables state no age. Releases that do not name the relay before vouch by checksums alone; they ignore the new field.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -170,3 +170,34 @@
 	is.True(s.First("a", 1000))
 	is.True(!s.First("a", 3+seenWindow))
 }
+
+func TestCoverage(t *testing.T) {
+	type message struct{ number, previous uint64 }
+	tests := []struct {
+		name     string
+		proved   uint64 // 0 if nothing has been
+		messages []message
+		want     []bool
+	}{
+		{name: "a stream of which nothing is proved", messages: []message{{1, 0}, {2, 1}}, want: []bool{false, false}},
+		{name: "all arrive", proved: 1, messages: []message{{2, 1}, {3, 2}, {4, 2}}, want: []bool{true, true, true}},
+		{name: "one without content is lost", proved: 1, messages: []message{{3, 1}}, want: []bool{true}},
+		{name: "one with content is lost", proved: 1, messages: []message{{3, 2}, {4, 2}, {5, 4}}, want: []bool{false, false, false}},
+		{name: "one with content is overtaken", proved: 1, messages: []message{{3, 2}, {2, 1}, {4, 3}}, want: []bool{false, true, true}},
+		{name: "a copy", proved: 2, messages: []message{{3, 2}, {3, 2}}, want: []bool{true, true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var c Coverage
+			if tt.proved > 0 {
+				c.Prove("a", tt.proved)
+			}
+			var got []bool
+			for _, m := range tt.messages {
+				got = append(got, c.Receive("a", m.number, m.previous))
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -101,17 +101,22 @@
 	Hops int    `json:"hops"` // number of instances that have forwarded it
 	// Stream identifies the start of the root, and Number the update among those that
 	// it has sent.
-	Stream           string `json:"stream"`
-	Number           uint64 `json:"number"`
-	RareChecksum     uint64 `json:"orders"` // as in Exchange
-	FrequentChecksum uint64 `json:"rows"`   // as in Exchange
-	Entries          Bundle `json:"entries,omitempty"`
-	Rank             uint64 `json:"rank"` // rank of the root; the instance with the highest rank relays if it can
+	Stream string `json:"stream"`
+	Number uint64 `json:"number"`
+	// Previous is the number of the newest update before this one that had rows, or was sent
+	// after the root had learnt of rows without relaying them; 0 for none. Nil if the root does
+	// not tell, as in earlier releases.
+	Previous         *uint64 `json:"previous,omitempty"`
+	RareChecksum     uint64  `json:"orders"` // as in Exchange
+	FrequentChecksum uint64  `json:"rows"`   // as in Exchange
+	Entries          Bundle  `json:"entries,omitempty"`
+	Rank             uint64  `json:"rank"` // rank of the root; the instance with the highest rank relays if it can
 	// RemovalsUncertainFor is for how long a removed row may come back.
 	RemovalsUncertainFor time.Duration `json:"doubtful-for,omitempty"`
 	Reread               bool          `json:"reread,omitempty"` // the rows are too large to relay; read them from the store
 	// Age is how old the root's rows may be when it sends the update: it knows all changes
 	// that the store acknowledged longer ago, from the store itself. Nil if it does not know.
+	// It holds for a receiver that has the same rows, or all updates before this one.
 	Age *time.Duration `json:"age,omitempty"`
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -140,7 +140,9 @@
 	urgent         []urgentEntry // oldest first
 	urgentSent     int           // number of the oldest in urgent that have been retired
 	relayNumber    uint64        // of the newest relay of this instance
+	rowsNumber     uint64        // of the newest that others must have to know its rows
 	relaysSeen     relay.Seen
+	coverage       relay.Coverage
 }
 
 // An urgentEntry is an urgent entry that is to be retired and forgotten.
--- a/node/mesh/peers.go
+++ b/node/mesh/peers.go
@@ -80,6 +80,9 @@
 			newer++
 		}
 	}
+	if newer > 0 {
+		s.skipRelayNumber()
+	}
 	return newer
 }
 
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -129,6 +129,7 @@
 			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
 	if leads && !led {
+		s.skipRelayNumber() // what others have told this instance it has not relayed
 		s.mesh.store.Recheck()
 	}
 }
@@ -328,13 +329,16 @@
 	}
 	s.relaySent = now
 	s.relayNumber++
+	previous := s.rowsNumber
 	message := peer.RowUpdate{
-		Stream: s.mesh.self.ID, Number: s.relayNumber,
+		Stream: s.mesh.self.ID, Number: s.relayNumber, Previous: &previous,
 		From: s.mesh.self.Address, Root: s.mesh.self.Instance, Rank: rank(s.mesh.self.Instance), RemovalsUncertainFor: s.mesh.RemovalsUncertainFor(),
 		RareChecksum: s.replica.rare.rows.Checksum(), FrequentChecksum: s.replica.frequent.rows.Checksum(),
-		Age:  ageOf(now, s.mesh.store.AsOf()),
 		Load: s.totalLoad(now, s.mesh.self.Instance),
 	}
+	if s.mesh.followsAll.Load() {
+		message.Age = ageOf(now, s.mesh.store.AsOf())
+	}
 	s.mesh.events.HandleLoad(message.Load)
 	message.Demand = s.recordDemand(now, message.Load.Demand)
 	bundle, err := peer.NewBundle(s.unsentRows)
@@ -345,10 +349,20 @@
 	if !message.Reread {
 		message.Entries = bundle
 	}
+	if len(s.unsentRows) > 0 {
+		s.rowsNumber = s.relayNumber
+	}
 	s.unsentRows = nil
 	s.forwardRows(s.mesh.self.Instance, message)
 }
 
+// skipRelayNumber leaves out a number, as if a relay with rows were lost: others must compare
+// their rows with those of this instance to know them all.
+func (s *state) skipRelayNumber() {
+	s.relayNumber++
+	s.rowsNumber = s.relayNumber
+}
+
 // forwardRows sends a relay to the children of an instance in the tree of the
 // relay's root: to those of this instance, or of one that could not be reached.
 func (s *state) forwardRows(parent string, message peer.RowUpdate) {
@@ -404,10 +418,13 @@
 		forwarded := message
 		forwarded.Hops++
 		s.forwardRows(s.mesh.self.Instance, forwarded)
-		if message.Age != nil {
+		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), message.Age)
+		switch {
+		case !s.hasRowsOf(&message):
+			s.compareMissed(now, &message)
+		case message.Age != nil:
 			s.recordRelay(now.Add(-*message.Age), message.Rank)
 		}
-		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), message.Age)
 		if message.Reread {
 			s.mesh.store.Reread()
 			s.replica.rare.lastChange = now // gives the reread settleTime before rows are compared
@@ -421,6 +438,30 @@
 	})
 }
 
+// hasRowsOf reports whether this instance knows all rows that the root of a relay knew when it
+// sent it, and not only those in it: relays before it may be lost or late.
+func (s *state) hasRowsOf(message *peer.RowUpdate) bool {
+	if message.RareChecksum == s.replica.rare.rows.Checksum() && message.FrequentChecksum == s.replica.frequent.rows.Checksum() {
+		s.coverage.Prove(message.Stream, message.Number)
+		return true
+	}
+	return message.Previous != nil && !message.Reread && s.coverage.Receive(message.Stream, message.Number, *message.Previous)
+}
+
+// compareMissed gets the rows that earlier relays of a root have failed to bring from the root.
+func (s *state) compareMissed(now time.Time, message *peer.RowUpdate) {
+	if s.comparing || message.Previous == nil || message.Age == nil || message.Reread {
+		return
+	}
+	stream, number := message.Stream, message.Number
+	s.startSync(message.From, s.mesh.compareAllRows, pullTimeout, func(s *state, age *time.Duration) {
+		if age != nil {
+			s.coverage.Prove(stream, number)
+			s.hearAsOf(&s.pulledAsOf, now.Add(-*age))
+		}
+	})
+}
+
 // recordRelay records that the rows of a relay are known, with all changes up to asOf. A
 // follower that is up to date ignores relays from lower-ranked instances, so that of two
 // instances that follow the store in place of others the one with the higher rank
--- a/node/mesh/relay_test.go
+++ b/node/mesh/relay_test.go
@@ -62,3 +62,42 @@
 		is.Equal(known.versions["servers/u"], uint64(7))
 	})
 }
+
+// TestRelayDoesNotVouchForMissedOnes guards against old rows that count as recent because a later relay has arrived.
+func TestRelayDoesNotVouchForMissedOnes(t *testing.T) {
+	row := entry("servers/u", 7)
+	var rows gossip.Store
+	rows.PutWithoutSending(row)
+	recent := 10 * time.Millisecond
+	tests := []struct {
+		name     string
+		arrives  bool   // the relay with the row
+		previous uint64 // that the last relay names
+		legacy   bool   // the root is of a release whose relays name none
+		want     bool   // the last relay vouches for the rows
+	}{
+		{name: "with rows, missed", previous: 2},
+		{name: "with rows, arrived", arrives: true, previous: 2, want: true},
+		{name: "with rows, missed, earlier release", legacy: true},
+		{name: "with rows, arrived, earlier release", arrives: true, legacy: true, want: true},
+		{name: "without rows, missed", previous: 0, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			relayTo(t, func(is *is.I, m *Mesh, _ *rowEvents, update func(peer.RowUpdate)) {
+				update(peer.RowUpdate{Number: 1, Previous: new(uint64), Age: &recent})
+				time.Sleep(5 * time.Second)
+				if tt.arrives {
+					update(peer.RowUpdate{Number: 2, Previous: new(uint64), Age: &recent, FrequentChecksum: rows.Checksum(), Entries: bundleOf(is, row)})
+				}
+				time.Sleep(5 * time.Second)
+				last := peer.RowUpdate{Number: 3, Previous: &tt.previous, Age: &recent, FrequentChecksum: rows.Checksum()}
+				if tt.legacy {
+					last.Previous = nil
+				}
+				update(last)
+				is.Equal(time.Since(m.AsOf()) < time.Second, tt.want)
+			})
+		})
+	}
+}
--- a/node/mesh/replica_test.go
+++ b/node/mesh/replica_test.go
@@ -89,7 +89,7 @@
 
 func (f fakeFollower) UpToDate() bool                    { return f.upToDate }
 func (fakeFollower) RemovalsUncertainFor() time.Duration { return 0 }
-func (fakeFollower) ChangesRarely(string) bool           { return false }
+func (fakeFollower) ChangesRarely(key string) bool       { return strings.HasPrefix(key, "op/") }
 func (fakeFollower) Reread()                             {}
 func (fakeFollower) AsOf() time.Time                     { return time.Time{} }
 func (fakeFollower) Recheck()                            {}
