--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -118,6 +118,9 @@
 	// that the store acknowledged longer ago, from the store itself. Nil if it does not know.
 	// It holds for a receiver that has the same rows, or all updates before this one.
 	Age *time.Duration `json:"age,omitempty"`
+	// AsOf is Age as a time of the store's steady clock, to which the time that the update takes
+	// to arrive adds nothing. Nil if the root does not know it.
+	AsOf *time.Duration `json:"as-of,omitempty"`
 	// Load is the load of the root's failure domain.
 	Load load.Sum `json:"load"`
 	// Demand is what the instances of each failure domain see of the services whose
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -69,6 +69,12 @@
 	// AsOf returns the time up to which all changes that the store has acknowledged are
 	// known from its responses to this instance. It is zero if there were none.
 	AsOf() time.Time
+	// StoreTime returns a time that the store's steady clock had reached at a time of this
+	// instance; false if it is not known.
+	StoreTime(at time.Time) (time.Duration, bool)
+	// LocalTime returns the earliest time of this instance at which the store's steady clock may
+	// have shown the time told; false if that is not known. It has reached another one by now.
+	LocalTime(now time.Time, told, reached time.Duration) (time.Time, bool)
 	// Recheck asks the store at once for changes, although polls are outstanding.
 	Recheck()
 	// ChangesRarely reports whether the row with the key changes rarely, as
@@ -137,8 +143,8 @@
 // AsOf returns the time up to which this instance knows all changes that the store has
 // acknowledged, from its own polls or from other instances.
 //
-// Relays that take long to arrive are taken for newer than they are, by the time that they
-// take: at most relayTimeout, after which they are given up.
+// Relays of earlier releases, and those that arrive before this instance has had a response of
+// the store, are taken for newer than they are by the time that they take to arrive.
 func (m *Mesh) AsOf() time.Time {
 	own := m.store.AsOf()
 	if heard := m.heardAsOf.Load(); heard != nil {
@@ -337,7 +343,7 @@
 		Load: s.totalLoad(now, s.mesh.self.Instance),
 	}
 	if s.mesh.followsAll.Load() {
-		message.Age = ageOf(now, s.mesh.store.AsOf())
+		message.Age, message.AsOf = s.ageOfRows(now)
 	}
 	s.mesh.events.HandleLoad(message.Load)
 	message.Demand = s.recordDemand(now, message.Load.Demand)
@@ -356,6 +362,17 @@
 	s.forwardRows(s.mesh.self.Instance, message)
 }
 
+// ageOfRows returns how old the rows may be that this instance knows from the store itself, and
+// the same as a time of the store's clock.
+func (s *state) ageOfRows(now time.Time) (age, asOf *time.Duration) {
+	at := s.mesh.store.AsOf()
+	age = ageOf(now, at)
+	if told, known := s.mesh.store.StoreTime(at); known && age != nil {
+		asOf = &told
+	}
+	return age, asOf
+}
+
 // skipRelayNumber leaves out a number, as if a relay with rows were lost: others must compare
 // their rows with those of this instance to know them all.
 func (s *state) skipRelayNumber() {
@@ -418,12 +435,13 @@
 		forwarded := message
 		forwarded.Hops++
 		s.forwardRows(s.mesh.self.Instance, forwarded)
-		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), message.Age)
+		asOf := s.localAsOf(now, &message)
+		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), ageOf(now, asOf))
 		switch {
 		case !s.hasRowsOf(&message):
 			s.compareMissed(now, &message)
-		case message.Age != nil:
-			s.recordRelay(now.Add(-*message.Age), message.Rank)
+		case !asOf.IsZero():
+			s.recordRelay(asOf, message.Rank)
 		}
 		if message.Reread {
 			s.mesh.store.Reread()
@@ -438,6 +456,22 @@
 	})
 }
 
+// localAsOf returns the time up to which the root of a relay knew all changes as it sent it;
+// the zero time if it does not tell.
+func (s *state) localAsOf(now time.Time, message *peer.RowUpdate) time.Time {
+	if message.Age == nil {
+		return time.Time{}
+	}
+	asOf := now.Add(-*message.Age)
+	if message.AsOf == nil {
+		return asOf
+	}
+	if at, known := s.mesh.store.LocalTime(now, *message.AsOf, *message.AsOf+*message.Age); known && at.Before(asOf) {
+		return at
+	}
+	return asOf
+}
+
 // hasRowsOf reports whether this instance knows all rows that the root of a relay knew when it
 // sent it, and not only those in it: relays before it may be lost or late.
 func (s *state) hasRowsOf(message *peer.RowUpdate) bool {
--- a/node/mesh/relay_test.go
+++ b/node/mesh/relay_test.go
@@ -29,6 +29,17 @@
 func (e *rowEvents) Demand() map[string]load.Demand  { return nil }
 func (e *rowEvents) RunningAttempts() map[string]int { return nil }
 
+// A clockFollower is a StoreFollower that knows the store's clock exactly.
+type clockFollower struct {
+	fakeFollower
+	zero time.Time // when the store's clock showed 0
+}
+
+func (c clockFollower) StoreTime(at time.Time) (time.Duration, bool) { return at.Sub(c.zero), true }
+func (c clockFollower) LocalTime(_ time.Time, told, _ time.Duration) (time.Time, bool) {
+	return c.zero.Add(told), true
+}
+
 // relayTo runs f in a bubble with an instance that follows nothing but what update sends it.
 func relayTo(t *testing.T, f func(is *is.I, m *Mesh, known *rowEvents, update func(peer.RowUpdate))) {
 	synctest.Test(t, func(t *testing.T) {
@@ -36,7 +47,7 @@
 		events := &rowEvents{versions: map[string]uint64{}}
 		log := jsonlog.New(io.Discard)
 		defer log.Close()
-		m := New(member.Identity{ID: "i1-1", Instance: "i1", Address: "10.9.0.1:1", FailureDomain: "a"}, events, fakeFollower{}, log, nil)
+		m := New(member.Identity{ID: "i1-1", Instance: "i1", Address: "10.9.0.1:1", FailureDomain: "a"}, events, clockFollower{zero: time.Now()}, log, nil)
 		go m.runLoop(t.Context(), nil)
 		f(is, m, events, func(u peer.RowUpdate) {
 			u.From, u.Root, u.Stream = "10.9.0.2:1", "i2", "i2-1"
@@ -101,3 +112,32 @@
 		})
 	}
 }
+
+// TestAgeOfRelayIncludesItsWay guards against old rows that count as recent because their relay took long to arrive.
+func TestAgeOfRelayIncludesItsWay(t *testing.T) {
+	tests := []struct {
+		name string
+		told bool // the root tells the store's time
+		way  time.Duration
+		want time.Duration // age of the rows as they arrive
+	}{
+		{name: "at once", told: true, want: 300 * time.Millisecond},
+		{name: "slow", told: true, way: 4 * time.Second, want: 4300 * time.Millisecond},
+		{name: "slow, earlier release", way: 4 * time.Second, want: 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			relayTo(t, func(is *is.I, m *Mesh, _ *rowEvents, update func(peer.RowUpdate)) {
+				time.Sleep(10 * time.Second)
+				age, asOf := 300*time.Millisecond, 9700*time.Millisecond
+				u := peer.RowUpdate{Number: 1, Age: &age}
+				if tt.told {
+					u.AsOf = &asOf
+				}
+				time.Sleep(tt.way)
+				update(u)
+				is.Equal(time.Since(m.AsOf()), tt.want)
+			})
+		})
+	}
+}
--- a/node/mesh/replica_test.go
+++ b/node/mesh/replica_test.go
@@ -87,12 +87,16 @@
 // A fakeFollower is a StoreFollower with a fixed state.
 type fakeFollower struct{ upToDate bool }
 
-func (f fakeFollower) UpToDate() bool                    { return f.upToDate }
-func (fakeFollower) RemovalsUncertainFor() time.Duration { return 0 }
-func (fakeFollower) ChangesRarely(key string) bool       { return strings.HasPrefix(key, "op/") }
-func (fakeFollower) Reread()                             {}
-func (fakeFollower) AsOf() time.Time                     { return time.Time{} }
-func (fakeFollower) Recheck()                            {}
+func (f fakeFollower) UpToDate() bool                          { return f.upToDate }
+func (fakeFollower) RemovalsUncertainFor() time.Duration       { return 0 }
+func (fakeFollower) ChangesRarely(key string) bool             { return strings.HasPrefix(key, "op/") }
+func (fakeFollower) Reread()                                   {}
+func (fakeFollower) AsOf() time.Time                           { return time.Time{} }
+func (fakeFollower) StoreTime(time.Time) (time.Duration, bool) { return 0, false }
+func (fakeFollower) LocalTime(_ time.Time, _, _ time.Duration) (time.Time, bool) {
+	return time.Time{}, false
+}
+func (fakeFollower) Recheck() {}
 
 func TestMayLackRegistrations(t *testing.T) {
 	tests := []struct {
