--- a/fake/network/network.go
+++ b/fake/network/network.go
@@ -25,11 +25,12 @@
 // methods are safe for concurrent use.
 type Network struct {
 	mu        sync.Mutex
-	listeners map[string]*listener // guarded by mu; by address
-	blocked   map[direction]bool   // guarded by mu; by locations
-	refused   map[direction]bool   // guarded by mu; by locations, in both orders
-	conns     []*conn              // guarded by mu; both ends of each connection
-	dials     map[dialPath]int     // guarded by mu
+	listeners map[string]*listener     // guarded by mu; by address
+	blocked   map[direction]bool       // guarded by mu; by locations
+	refused   map[direction]bool       // guarded by mu; by locations, in both orders
+	delays    map[string]time.Duration // guarded by mu; of what is sent from or to a location
+	conns     []*conn                  // guarded by mu; both ends of each connection
+	dials     map[dialPath]int         // guarded by mu
 }
 
 type direction struct{ from, to string }
@@ -63,11 +64,17 @@
 func (n *Network) DialerAt(location string) *Dialer { return &Dialer{network: n, location: location} }
 
 // DialContext connects to an address. It blocks until ctx is done while traffic
-// is blocked in either direction, and is refused at once if nothing listens or new
-// connections are refused.
-// The network name is ignored.
+// is blocked in either direction, and is refused if nothing listens or new connections
+// are refused. The network name is ignored.
 func (d *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	l, blocked := d.network.lookUp(d.location, address)
+	l, blocked, delay := d.network.lookUp(d.location, address)
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, newDialError(ctx.Err())
+		}
+	}
 	if blocked {
 		<-ctx.Done()
 		return nil, newDialError(ctx.Err())
@@ -88,7 +95,7 @@
 
 func newDialError(cause error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: cause} }
 
-func (n *Network) lookUp(location, address string) (l *listener, blocked bool) {
+func (n *Network) lookUp(location, address string) (l *listener, blocked bool, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.dials == nil {
@@ -96,10 +103,36 @@
 	}
 	n.dials[dialPath{location, address}]++
 	l = n.listeners[address]
-	if l == nil || n.refused[direction{location, l.location}] {
-		return nil, false
+	if l == nil {
+		return nil, false, n.delays[location]
+	}
+	delay = n.delayBetween(location, l.location)
+	if n.refused[direction{location, l.location}] {
+		return nil, false, delay
+	}
+	return l, n.blocked[direction{location, l.location}] || n.blocked[direction{l.location, location}], delay
+}
+
+// delayBetween returns the delay of what is sent between two locations. The caller holds mu.
+func (n *Network) delayBetween(a, b string) time.Duration {
+	if a == b {
+		return n.delays[a]
+	}
+	return n.delays[a] + n.delays[b]
+}
+
+// Delay delays from now on all that is sent from or to a location, and new connections, as if
+// its processes were slow. A delay of 0 ends that.
+func (n *Network) Delay(location string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.delays == nil {
+		n.delays = map[string]time.Duration{}
+	}
+	n.delays[location] = d
+	for _, c := range n.conns {
+		c.write.setDelay(n.delayBetween(c.from, c.to))
 	}
-	return l, n.blocked[direction{location, l.location}] || n.blocked[direction{l.location, location}]
 }
 
 // newConnPair returns the two ends of a new connection.
@@ -109,6 +142,8 @@
 	accepted := &conn{read: a, write: b, from: l.location, to: location, address: l.address}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	a.setDelay(n.delayBetween(location, l.location))
+	b.setDelay(n.delayBetween(location, l.location))
 	n.conns = append(n.conns, dialing, accepted)
 	return dialing, accepted
 }
--- a/fake/network/pipe.go
+++ b/fake/network/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,13 +19,21 @@
 	writeDeadline deadline
 
 	mu         sync.Mutex
-	data       []byte        // guarded by mu
+	data       []byte        // that has arrived; guarded by mu
+	underway   []segment     // that has not, in order; guarded by mu
+	delay      time.Duration // of what is written from now on; guarded by mu
 	err        error         // guarded by mu; returned by reads once data is empty
 	closed     bool          // guarded by mu
 	blackholed bool          // guarded by mu; drops all data and orderly closes
 	change     chan struct{} // guarded by mu; closed and replaced at each change
 }
 
+// A segment is what one write has put into a pipe, and arrives later.
+type segment struct {
+	arrives time.Time
+	data    []byte
+}
+
 func newPipe() *pipe { return &pipe{change: make(chan struct{})} }
 
 // notifyChange wakes all waiting readers and writers. The caller holds mu.
@@ -33,6 +42,35 @@
 	p.change = make(chan struct{})
 }
 
+func (p *pipe) setDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// arrive moves what has arrived by now to data. It returns the time until the next segment
+// arrives, or 0 if there is none. The caller holds mu.
+func (p *pipe) arrive(now time.Time) (next time.Duration) {
+	for len(p.underway) > 0 {
+		first := p.underway[0]
+		if first.arrives.After(now) {
+			return first.arrives.Sub(now)
+		}
+		p.data = append(p.data, first.data...)
+		p.underway = p.underway[1:]
+	}
+	return 0
+}
+
+// size returns the number of bytes that have not been read. The caller holds mu.
+func (p *pipe) size() int {
+	n := len(p.data)
+	for _, s := range p.underway {
+		n += len(s.data)
+	}
+	return n
+}
+
 func (p *pipe) blackhole() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,34 +112,42 @@
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
-		n, change, err := p.tryRead(b)
+		n, change, next, err := p.tryRead(b)
 		if n > 0 || err != nil {
 			return n, err
 		}
+		var arrival <-chan time.Time
+		if next > 0 {
+			arrival = time.After(next)
+		}
 		select {
 		case <-change:
+		case <-arrival:
 		case <-p.readDeadline.wait():
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
 }
 
-func (p *pipe) tryRead(b []byte) (int, chan struct{}, error) {
+// tryRead returns the number of bytes read. If it is 0 without an error, the caller tries
+// again when the channel is closed or, if next is above 0, after that time.
+func (p *pipe) tryRead(b []byte) (n int, change chan struct{}, next time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.readDeadline.expired() {
-		return 0, nil, os.ErrDeadlineExceeded
+		return 0, nil, 0, os.ErrDeadlineExceeded
 	}
+	next = p.arrive(time.Now())
 	if len(p.data) > 0 && !p.blackholed {
-		n := copy(b, p.data)
+		n = copy(b, p.data)
 		p.data = p.data[n:]
 		p.notifyChange()
-		return n, nil, nil
+		return n, nil, 0, nil
 	}
-	if p.closed {
-		return 0, nil, p.err
+	if p.closed && len(p.underway) == 0 {
+		return 0, nil, 0, p.err
 	}
-	return 0, p.change, nil
+	return 0, p.change, next, nil
 }
 
 func (p *pipe) write(b []byte) (int, error) {
@@ -135,15 +181,29 @@
 	case p.closed:
 		return 0, nil, io.ErrClosedPipe
 	}
-	n := min(len(b), pipeBufferBytes-len(p.data))
-	if n == 0 {
+	n := min(len(b), pipeBufferBytes-p.size())
+	if n <= 0 {
 		return 0, p.change, nil
 	}
-	p.data = append(p.data, b[:n]...)
+	if p.delay == 0 && len(p.underway) == 0 {
+		p.data = append(p.data, b[:n]...)
+	} else {
+		p.underway = append(p.underway, segment{arrives: p.nextArrival(), data: slices.Clone(b[:n])})
+	}
 	p.notifyChange()
 	return n, nil, nil
 }
 
+// nextArrival returns when what is written now arrives: not before what was written earlier.
+// The caller holds mu.
+func (p *pipe) nextArrival() time.Time {
+	at := time.Now().Add(p.delay)
+	if n := len(p.underway); n > 0 && p.underway[n-1].arrives.After(at) {
+		return p.underway[n-1].arrives
+	}
+	return at
+}
+
 // A deadline is a point in time that can be waited for and changed. The zero
 // deadline never expires.
 type deadline struct {
