node/mesh: rows that an instance drops instead of relaying count as missed by others

Cause: an instance that follows no more, or asks the store for itself, drops its unsent rows. Once it relays again, its updates connect to those before, as if the rows had been among them. Change: it leaves out a number with the rows. That covers what a new root has not relayed before it leads, as rows from others already leave out one.

--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -135,7 +135,6 @@
 			Int("relays-failed", s.mesh.relayFailures.Load()).End()
 	}
 	if leads && !led {
-		s.skipRelayNumber() // what others have told this instance it has not relayed
 		s.mesh.store.Recheck()
 	}
 }
@@ -526,12 +525,13 @@
 const flushDelay = 20 * time.Millisecond
 
 // flushRows relays the unsent rows, or drops them if this instance does not follow
-// the store.
+// the store. Others then cannot tell by its later relays that they know them.
 func (s *state) flushRows() {
 	s.flushScheduled = false
 	if s.mesh.followsStore.Load() {
 		s.relayRows(time.Now())
 	} else {
 		s.unsentRows = nil
+		s.skipRelayNumber()
 	}
 }
--- a/node/mesh/relay_test.go
+++ b/node/mesh/relay_test.go
@@ -141,3 +141,15 @@
 		})
 	}
 }
+
+// TestDroppedRowsAreNotVouchedFor guards against old rows that count as recent at those to whom a new root relays.
+func TestDroppedRowsAreNotVouchedFor(t *testing.T) {
+	is := is.New(t)
+	s := newTestState()
+	s.relayNumber = 4
+	s.unsentRows = []gossip.Entry{entry("servers/u", 7)}
+	s.flushRows()
+	is.Equal(len(s.unsentRows), 0)
+	is.Equal(s.rowsNumber, uint64(5)) // which nobody receives
+	is.Equal(s.relayNumber, s.rowsNumber)
+}
