node/mesh: rows that are being read from the store are not fetched from the root as well

Cause: rows of over 32 KiB are not relayed; each instance reads them from the store. The next relay, some ms later, named that one as the relay before it, and as its rows were not there yet, each instance of the failure domain fetched them from the root: 1 MB and more on a link of 10 Mbit/s. An instance that polls the store itself compared its rows needlessly as well. Evidence: TestRowsAreNotFetchedWhileTheyAreReread fails before (one comparison begins) and passes. The tests of the mesh now have a dialler of their own, so that comparisons they cause go nowhere.

--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -143,6 +143,7 @@
 	rowsNumber     uint64        // of the newest that others must have to know its rows
 	relaysSeen     relay.Seen
 	coverage       relay.Coverage
+	rereadAsked    time.Time // when the store was last asked for rows that are too large to relay
 }
 
 // An urgentEntry is an urgent entry that is to be retired and forgotten.
--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -444,6 +444,7 @@
 		}
 		if message.Reread {
 			s.mesh.store.Reread()
+			s.rereadAsked = now
 			s.replica.rare.lastChange = now // gives the reread settleTime before rows are compared
 		}
 		s.compareIfDiffering(now, message.From, message.RareChecksum, message.FrequentChecksum, true)
@@ -481,9 +482,12 @@
 	return message.Previous != nil && !message.Reread && s.coverage.Receive(message.Stream, message.Number, *message.Previous)
 }
 
-// compareMissed gets the rows that earlier relays of a root have failed to bring from the root.
+// compareMissed gets the rows that earlier relays of a root have failed to bring from the root,
+// unless this instance is getting them from the store.
 func (s *state) compareMissed(now time.Time, message *peer.RowUpdate) {
-	if s.comparing || message.Previous == nil || message.Age == nil || message.Reread {
+	rereading := message.Reread || now.Sub(s.rereadAsked) < settleTime
+	polling := s.mesh.followsAll.Load() && s.mesh.store.UpToDate()
+	if s.comparing || rereading || polling || message.Previous == nil || message.Age == nil {
 		return
 	}
 	stream, number := message.Stream, message.Number
--- a/node/mesh/relay_test.go
+++ b/node/mesh/relay_test.go
@@ -1,7 +1,10 @@
 package mesh
 
 import (
+	"context"
 	"io"
+	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +22,7 @@
 type rowEvents struct {
 	EventHandler
 	versions map[string]uint64 // by key
+	dials    int               // tries to connect to others
 }
 
 func (e *rowEvents) HandleMembers([]member.Status) {}
@@ -45,9 +49,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		events := &rowEvents{versions: map[string]uint64{}}
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			events.dials++
+			return nil, syscall.ECONNREFUSED
+		}
 		log := jsonlog.New(io.Discard)
 		defer log.Close()
-		m := New(member.Identity{ID: "i1-1", Instance: "i1", Address: "10.9.0.1:1", FailureDomain: "a"}, events, clockFollower{zero: time.Now()}, log, nil)
+		m := New(member.Identity{ID: "i1-1", Instance: "i1", Address: "10.9.0.1:1", FailureDomain: "a"}, events, clockFollower{zero: time.Now()}, log, dial)
 		go m.runLoop(t.Context(), nil)
 		f(is, m, events, func(u peer.RowUpdate) {
 			u.From, u.Root, u.Stream = "10.9.0.2:1", "i2", "i2-1"
@@ -153,3 +161,18 @@
 	is.Equal(s.rowsNumber, uint64(5)) // which nobody receives
 	is.Equal(s.relayNumber, s.rowsNumber)
 }
+
+// TestRowsAreNotFetchedWhileTheyAreReread guards against a large row that all instances of a failure domain fetch from its root.
+func TestRowsAreNotFetchedWhileTheyAreReread(t *testing.T) {
+	relayTo(t, func(is *is.I, _ *Mesh, known *rowEvents, update func(peer.RowUpdate)) {
+		recent, previous := 10*time.Millisecond, uint64(1)
+		update(peer.RowUpdate{Number: 1, Previous: new(uint64), Age: &recent, RareChecksum: 7, Reread: true})
+		update(peer.RowUpdate{Number: 2, Previous: &previous, Age: &recent, RareChecksum: 7})
+		synctest.Wait()
+		is.Equal(known.dials, 0)
+		time.Sleep(settleTime)
+		update(peer.RowUpdate{Number: 3, Previous: &previous, Age: &recent, RareChecksum: 7})
+		synctest.Wait()
+		is.True(known.dials > 0)
+	})
+}
