node/mesh: names of the read-through

A predicate that records what it finds is named for that, and the third argument of LocalTime is explained. No logic has changed; the tests of the mesh pass.

--- a/node/mesh/relay.go
+++ b/node/mesh/relay.go
@@ -73,7 +73,8 @@
 	// instance; false if it is not known.
 	StoreTime(at time.Time) (time.Duration, bool)
 	// LocalTime returns the earliest time of this instance at which the store's steady clock may
-	// have shown the time told; false if that is not known. It has reached another one by now.
+	// have shown the time told; false if that is not known. reached is a time that the clock has
+	// reached by now, as another instance knows.
 	LocalTime(now time.Time, told, reached time.Duration) (time.Time, bool)
 	// Recheck asks the store at once for changes, although polls are outstanding.
 	Recheck()
@@ -437,7 +438,7 @@
 		asOf := s.localAsOf(now, &message)
 		s.logRows("rows-relayed", message.Root, message.Hops, s.applyRows(entries, message.RemovalsUncertainFor), ageOf(now, asOf))
 		switch {
-		case !s.hasRowsOf(&message):
+		case !s.recordCoverage(&message):
 			s.compareMissed(now, &message)
 		case !asOf.IsZero():
 			s.recordRelay(asOf, message.Rank)
@@ -472,9 +473,10 @@
 	return asOf
 }
 
-// hasRowsOf reports whether this instance knows all rows that the root of a relay knew when it
-// sent it, and not only those in it: relays before it may be lost or late.
-func (s *state) hasRowsOf(message *peer.RowUpdate) bool {
+// recordCoverage records a relay whose rows have been applied. It reports whether this instance
+// knows all rows that the root knew when it sent it, and not only those in it: relays before it
+// may be lost or late.
+func (s *state) recordCoverage(message *peer.RowUpdate) bool {
 	if message.RareChecksum == s.replica.rare.rows.Checksum() && message.FrequentChecksum == s.replica.frequent.rows.Checksum() {
 		s.coverage.Prove(message.Stream, message.Number)
 		return true
