--- a/review/stand-3/rollback.go
+++ b/review/stand-3/rollback.go
@@ -14,18 +14,19 @@
 func init() { cases["rollback"] = rollback }
 
 const (
-	rollbackRate     = 80              // requests a second, from sessions that go on
-	rollbackSessions = 240             // each has a request every 3 s
+	rollbackRate     = 150             // requests a second, from sessions that go on
+	rollbackSessions = 450             // each has a request every 3 s
 	drainAfter       = 8 * time.Second // from rolled_back until the bad version's upstreams drain
 	leaveAfter       = 3 * time.Second // from then on until they end
-	firstDuration    = 14 * time.Second
-	goodAnswer       = 20 * time.Millisecond
+	firstDuration    = 12 * time.Second
+	answerTime       = 20 * time.Millisecond
+	badAnswerTime    = 160 * time.Millisecond // eight times as long
+	failingAnswers   = 6                      // of so many answers of the bad version, one is a failure
 	goodDuration     = 14 * time.Second
-	sessionTime      = 5 * time.Second        // session-s
-	badAnswer        = 160 * time.Millisecond // eight times as long
+	sessionTime      = 5 * time.Second // session-s
 )
 
-// rollback rolls out a bad version v2, and, once the system has written rolled_back, a good
+// rollback rolls out a version v2 that answers slowly, and fails one request in six, and, once the system has written rolled_back, a good
 // version v3. Without trouble, the second order comes when the upstreams of v2 have left.
 func rollback(d *deployment, trouble bool) (int, string) {
 	var mu sync.Mutex
@@ -33,7 +34,6 @@
 		at      time.Duration
 		version string
 		failed  bool
-		session string
 	}
 	var arrivals []arrival
 	type sessionRun struct {
@@ -47,16 +47,20 @@
 		var ids []string
 		for i := range n {
 			id := fmt.Sprintf("i-%s-%d", version, i)
-			u := &standin.Upstream{ID: id, FirstEventDelay: goodAnswer}
+			u := &standin.Upstream{ID: id, FirstEventDelay: answerTime}
 			if version == "v2" {
-				u.FirstEventDelay = badAnswer
+				u.FirstEventDelay = badAnswerTime
 			}
+			calls := 0
 			u.SetMode(func(r *http.Request) standin.Mode {
 				mode := standin.Succeed
+				if calls++; version == "v2" && calls%failingAnswers == 0 {
+					mode = standin.Fail
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				session := r.Header.Get("Session")
-				arrivals = append(arrivals, arrival{at: time.Since(d.began), version: version, failed: version == "v2", session: session})
+				arrivals = append(arrivals, arrival{at: time.Since(d.began), version: version, failed: mode == standin.Fail})
 				now := time.Since(d.began)
 				last := bySession[session]
 				firstHalf := now < orderedGood+goodDuration/2
@@ -64,14 +68,14 @@
 					moved++
 				}
 				bySession[session] = sessionRun{version: version, at: now}
-				d.note("%s runs %s of %s", id, r.Header.Get("Attempt-Id"), session)
+				d.note("%s runs %s of %s, fails: %t", id, r.Header.Get("Attempt-Id"), session, mode == standin.Fail)
 				return mode
 			})
 			address, _, err := d.listen(u)
 			if err != nil {
 				return nil
 			}
-			d.register(id, "models", address, fmt.Sprintf("zone-%d", i%3), version, "ready", 64, time.Now())
+			d.register(id, "desk", address, fmt.Sprintf("zone-%d", i%3), version, "ready", 64, time.Now())
 			ids = append(ids, id+" "+address)
 		}
 		return ids
@@ -80,7 +84,7 @@
 		for i, one := range ids {
 			var id, address string
 			fmt.Sscan(one, &id, &address)
-			d.register(id, "models", address, fmt.Sprintf("zone-%d", i%3), version, "draining", 64, time.Now())
+			d.register(id, "desk", address, fmt.Sprintf("zone-%d", i%3), version, "draining", 64, time.Now())
 		}
 		time.AfterFunc(leaveAfter, func() {
 			for _, one := range ids {
@@ -92,9 +96,9 @@
 	}
 	start("v1", 6)
 	d.configure(7, []object{{
-		"name": "r-ask", "host": host, "prefix": "/ask/", "kind": "safe", "timeout-ms": 5000, "target-latency-ms": 500,
-		"priority": 1, "service": "models", "max-attempts": 3, "public": false,
-	}}, []object{service("models")}, oneTenant(key))
+		"name": "r-book", "host": host, "prefix": "/book/", "kind": "unsafe", "timeout-ms": 5000, "target-latency-ms": 500,
+		"priority": 1, "service": "desk", "max-attempts": 3, "public": false,
+	}}, []object{service("desk")}, oneTenant(key))
 	if err := d.startInstances(3); err != nil {
 		return couldNot, err.Error()
 	}
@@ -110,7 +114,7 @@
 	traffic.Go(func() {
 		every(time.Second/rollbackRate, end, func(n int) {
 			i := n % rollbackSessions
-			r := newRequest(http.MethodGet, d.instances[i%3].front, "/ask/1", fmt.Sprintf("a%07d", n), 5*time.Second, nil)
+			r := newRequest(http.MethodPost, d.instances[i%3].front, "/book/1", fmt.Sprintf("a%07d", n), 5*time.Second, nil)
 			r.Header.Set("Session", fmt.Sprintf("s-%d", i))
 			mu.Lock()
 			sent = append(sent, time.Since(d.began))
@@ -130,11 +134,11 @@
 	time.Sleep(3 * time.Second)
 	bad := start("v2", 6)
 	ordered := time.Since(d.began)
-	d.store.Put("op", "rollout/models", object{"service": "models", "to": "v2", "duration-s": firstDuration.Seconds()})
+	d.store.Put("op", "rollout/desk", object{"service": "desk", "to": "v2", "duration-s": firstDuration.Seconds()})
 	d.note("the operator orders v2")
 	rolledBack := time.Duration(0)
 	for time.Since(d.began) < ordered+firstDuration+time.Second && rolledBack == 0 {
-		if status := string(d.store.Get("status", "rollout/models")); strings.Contains(status, `"rolled_back"`) && strings.Contains(status, `"v2"`) {
+		if status := string(d.store.Get("status", "rollout/desk")); strings.Contains(status, `"rolled_back"`) && strings.Contains(status, `"v2"`) {
 			rolledBack = time.Since(d.began)
 			d.note("the system writes %s", status)
 		}
@@ -152,7 +156,7 @@
 	mu.Lock()
 	orderedGood = time.Since(d.began)
 	mu.Unlock()
-	d.store.Put("op", "rollout/models", object{"service": "models", "to": "v3", "duration-s": goodDuration.Seconds()})
+	d.store.Put("op", "rollout/desk", object{"service": "desk", "to": "v3", "duration-s": goodDuration.Seconds()})
 	d.note("the operator orders v3")
 	traffic.Wait()
 
@@ -173,24 +177,25 @@
 		if a.at < ordered+firstDuration {
 			onBad++
 		}
-		if a.failed {
-			if badAnswers++; badAnswers == 50 {
-				fiftieth = a.at
-			}
+		if badAnswers++; badAnswers == 50 { // all are slow
+			fiftieth = a.at
 		}
 		if fiftieth > 0 && a.at > fiftieth+5*time.Second {
 			late++
 		}
 	}
-	after := 0
+	after, failedAfter := 0, 0
 	for _, a := range arrivals {
 		if a.version == "v2" && a.at > rolledBack+time.Second {
 			after++
+			if a.failed {
+				failedAfter++
+			}
 		}
 	}
 	most := 0.15*float64(all) + 30
-	summary := fmt.Sprintf("v2 got %d of %d requests from its order to its deadline (at most %.0f), %d of them more than 1 s after rolled_back; %d bad answers; %d requests later than 5 s after the 50th; answers by status %v; since the order of v3, %d requests ran on another version than the one before in their session, on v3 in its first half or on an older one",
-		onBad, all, most, after, badAnswers, late, answers, moved)
+	summary := fmt.Sprintf("v2 got %d of %d requests from its order to its deadline (at most %.0f), %d more than 1 s after rolled_back, of which %d failed; %d bad answers; %d requests later than 5 s after the 50th; answers by status %v; since the order of v3, %d requests ran on another version than the one before in their session, on v3 in its first half or on an older one",
+		onBad, all, most, after, failedAfter, badAnswers, late, answers, moved)
 	rules := ""
 	if moved > 3 {
 		rules += "PINNED, "
