core/routing, platform: an empty list of organisations admits nobody

What callers saw: once a configuration took the last organisation away, with an empty list, every request ran at all instances, with the dropped key, with one that was never issued and without any. Cause: a configuration without the list needs no key, and whether it has the list was read off the number of organisations (Table.RequiresKey). Empty, absent and null were one.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -125,6 +125,9 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
+	// Anonymous is true if callers need no API key. A table whose last organisation or
+	// key was removed is not anonymous: it admits nobody to routes that are not public.
+	Anonymous bool
 
 	byHost    map[string][]*Route // longest prefix first
 	byKey     map[string]*Organisation
@@ -175,7 +178,7 @@
 
 // RequiresKey reports whether callers of routes that are not public need an API
 // key.
-func (t *Table) RequiresKey() bool { return len(t.Organisations) > 0 }
+func (t *Table) RequiresKey() bool { return !t.Anonymous }
 
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.byService[name] }
