core/routing: an empty API key is nobody's

What callers would see: an organisation whose list of keys holds an empty one lets requests without a key run in its name. Found by reading, on the path of the fault before. Cause: a request without a key is looked up with the empty key. Change: New leaves empty keys out of the index. Evidence: before the change TestRoutesStayClosedWithoutOrganisations/organisation_with_an_empty_key got 200 in place of 401, and TestDecodeOrganisations/an_empty_key found an organisation; both pass.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -149,7 +149,9 @@
 	for i := range t.Organisations {
 		o := &t.Organisations[i]
 		for _, k := range o.Keys {
-			t.byKey[k] = o
+			if k != "" { // a request without a key is not the organisation's
+				t.byKey[k] = o
+			}
 		}
 	}
 	t.byService = map[string]*Service{}
