core/trial, node/exchange, platform: the version in force is known, not what the newest order leaves

What callers saw: a version that was rolled back got a share of the requests again as soon as the next order was there, until its upstreams had drained. Sessions went there and back, calls failed. Cause: the router took every version that the newest order is not for as the old one, and the store kept the newest order's state only. Change: trial.History keeps what orders have made of each version. In force is the version that was completed last or, while none was, those that no order was for. It is a row of its own, status/versions/SERVICE, written with the record, merged by all, and written again by those that know more than it holds: after the store has lost it, or an earlier build has written the record alone. Picks, evidence, baselines, load tests and explain use it. Why it works: a version counts as out of force from its order on, whatever becomes of the order, so that no path has to notice that it was stopped; who was not there reads it from the store.

--- a/core/placement/fleet.go
+++ b/core/placement/fleet.go
@@ -226,6 +226,13 @@
 	return n
 }
 
+// Serves reports whether an upstream of a service that has an accepted version may get new
+// attempts.
+func (f *Fleet) Serves(now time.Time, serviceName string, accepts func(version string) bool) bool {
+	s := f.services[serviceName]
+	return s != nil && slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return accepts(u.Version) && f.acceptsWork(now, u) })
+}
+
 // acceptsWork reports whether the upstream may get new attempts at all.
 func (f *Fleet) acceptsWork(now time.Time, u *upstream) bool {
 	return !u.Draining && !u.isGone(now) && !f.disabledDomains[u.FailureDomain]
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -48,8 +48,11 @@
 // A RecordStore stores the states of orders.
 type RecordStore interface {
 	// Write replaces the record of a service if the stored one still has
-	// r.Version.
-	Write(ctx context.Context, service string, r RolloutRecord) error
+	// r.Version and, in the same transaction, its history unless that is nil.
+	Write(ctx context.Context, service string, r RolloutRecord, history []trial.VersionRecord) error
+	// WriteHistory replaces the history of a service if the stored one still has the given
+	// version; 0 if there is none.
+	WriteHistory(ctx context.Context, service string, history []trial.VersionRecord, version era.Version) error
 }
 
 // A PeerClient sends messages to the other instances.
@@ -71,10 +74,13 @@
 	Peers    PeerClient
 	Instance string
 
-	members  []member.Status          // guarded by Router.mu
-	records  map[string]RolloutRecord // guarded by Router.mu; by service
-	writeDue map[string]time.Time     // earliest next write of a record, by service; used by Run only
-	blockers map[string]string        // that were logged last; guarded by Router.mu; by service
+	members   []member.Status          // guarded by Router.mu
+	records   map[string]RolloutRecord // guarded by Router.mu; by service
+	histories map[string]storedHistory // guarded by Router.mu; by service
+	writeDue  map[string]time.Time     // earliest next write of a record, by service; used by Run only
+	blockers  map[string]string        // that were logged last; guarded by Router.mu; by service
+
+	historyDue map[string]time.Time // earliest next write of a history alone, by service; used by Run only
 }
 
 // SetMembers replaces the instances that may be running.
@@ -111,6 +117,7 @@
 		return false
 	}
 	c.records[service] = record
+	c.Router.recordOrder(service, record, "record")
 	return true
 }
 
@@ -165,6 +172,7 @@
 // Run checks the trials until ctx is done.
 func (c *RolloutCoordinator) Run(ctx context.Context) {
 	c.writeDue = map[string]time.Time{}
+	c.historyDue = map[string]time.Time{}
 	ticker := time.NewTicker(trialCheckInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -180,6 +188,9 @@
 			c.publishCheck(ctx, check, report)
 			c.writeRecord(ctx, check)
 		}
+		for _, check := range c.checkHistories() {
+			c.writeHistory(ctx, check)
+		}
 	}
 }
 
@@ -189,8 +200,9 @@
 	state        trial.State
 	report       trial.Report
 	storedRecord RolloutRecord
-	wantState    trial.State // that the record is to have
-	rank         int         // of this instance among those that may write the record
+	wantState    trial.State           // that the record is to have
+	rank         int                   // of this instance among those that may write the record
+	history      []trial.VersionRecord // of the service, if the stored one lacks something; nil otherwise
 	// collectors are the addresses of the instances to report to.
 	collectors []string
 }
@@ -226,6 +238,8 @@
 			c.logBlocker(now, t, oldRunning, blocker)
 		}
 		check.rank, check.collectors = rank, collectors
+		r.recordTrial(t)
+		check.history = c.historyToWrite(check)
 		checks = append(checks, check)
 	}
 	return checks
@@ -368,7 +382,7 @@
 	record := RolloutRecord{State: check.wantState, To: check.order.To, Revision: check.order.Revision, Version: check.storedRecord.Version}
 	callCtx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
-	err := c.Records.Write(callCtx, check.order.Service, record)
+	err := c.Records.Write(callCtx, check.order.Service, record, check.history)
 	c.Router.Log.Line("rollout-record").Str("service", check.order.Service).Str("to", check.order.To).Str("version", check.order.Revision.String()).
 		Str("state", check.wantState.String()).Str("record-version", check.storedRecord.Version.String()).Int("rank", int64(check.rank)).Err(err).End()
 	if err == nil {
--- a/node/exchange/explain.go
+++ b/node/exchange/explain.go
@@ -232,6 +232,12 @@
 	view := explainView{router: scratch, version: "any"}
 	ordered := r.trials[q.Service]
 	withdrawn := r.withdrawnTrials[q.Service]
+	history := r.histories[q.Service]
+	if history == nil {
+		return view
+	}
+	copied := history.Clone()
+	scratch.histories[q.Service] = &copied
 	var t *trial.Trial
 	switch {
 	case ordered != nil:
@@ -241,29 +247,41 @@
 		t = withdrawn.CopyFor(q.Session)
 		scratch.withdrawnTrials[q.Service] = t
 	}
-	if t != nil {
-		choice := versionChoice{}
-		slot, _ := scratch.pick(q, c, &choice)
-		view.accepts, view.version = explainVersion(t, ordered != nil, slot, choice)
-		scratch.fleet = r.fleet.Copy(q.Service) // the choice has used the other one
+	choice := versionChoice{}
+	slot, _ := scratch.pick(q, c, &choice)
+	scratch.fleet = r.fleet.Copy(q.Service) // the choice has used the other one
+	if ordered == nil {
+		view.accepts, view.version = scratch.explainInForce(q.Service, slot)
+		return view
 	}
+	view.accepts, view.version = scratch.explainVersion(t, choice)
 	return view
 }
 
 // explainVersion returns the versions that may get a request for which a trial has made a
 // choice, and why.
-func explainVersion(t *trial.Trial, ordered bool, slot *placement.Slot, choice versionChoice) (accepts func(string) bool, why string) {
+func (r *Router) explainVersion(t *trial.Trial, choice versionChoice) (accepts func(string) bool, why string) {
 	state, _ := t.State()
 	to := t.Order.To
-	if !ordered {
-		if state == trial.Completed || slot != nil && slot.Upstream.Version == to {
-			return nil, "any"
-		}
-		return func(v string) bool { return v != to }, fmt.Sprintf("not %s, whose order was withdrawn", to)
-	}
-	accepts = func(v string) bool { return (v == to) == choice.toNew }
 	if choice.toNew {
-		return accepts, fmt.Sprintf("%s, by the roll-out to it (%s)", to, state)
+		return func(v string) bool { return v == to }, fmt.Sprintf("%s, by the roll-out to it (%s)", to, state)
+	}
+	return r.acceptsInForce(time.Now(), t.Order.Service, to), fmt.Sprintf("not %s, by the roll-out to it (%s)", to, state)
+}
+
+// explainInForce returns the versions that may get a request to a service without an order,
+// and why, where slot is what the request would get.
+func (r *Router) explainInForce(service string, slot *placement.Slot) (accepts func(string) bool, why string) {
+	accepts = r.acceptsInForce(time.Now(), service, "")
+	withdrawn := r.withdrawnTrials[service]
+	current := r.history(service).Current()
+	switch {
+	case slot != nil && !accepts(slot.Upstream.Version):
+		return nil, "any"
+	case current != "":
+		return accepts, fmt.Sprintf("%s, to which the service was moved last", current)
+	case withdrawn != nil:
+		return accepts, fmt.Sprintf("not %s, whose order was withdrawn", withdrawn.Order.To)
 	}
-	return accepts, fmt.Sprintf("not %s, by the roll-out to it (%s)", to, state)
+	return accepts, "one that no order was for"
 }
--- a/node/exchange/loadtest.go
+++ b/node/exchange/loadtest.go
@@ -71,7 +71,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.trials[q.Service]
-	if t == nil || slot.Upstream.Version == t.Order.To {
+	if t == nil || slot.Upstream.Version == t.Order.To || !r.isInForce(q.Service, slot.Upstream.Version) {
 		return nil
 	}
 	t.SetCopyable()
--- a/node/exchange/records_test.go
+++ b/node/exchange/records_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"banyanyard/core/era"
 	"banyanyard/core/gossip"
 	"banyanyard/core/member"
 	"banyanyard/core/placement"
@@ -110,8 +111,13 @@
 	return from == g.isolated || to == g.isolated
 }
 
+// WriteHistory implements RecordStore.
+func (groupMember) WriteHistory(context.Context, string, []trial.VersionRecord, era.Version) error {
+	return nil
+}
+
 // Write implements RecordStore.
-func (m groupMember) Write(_ context.Context, service string, r RolloutRecord) error {
+func (m groupMember) Write(_ context.Context, service string, r RolloutRecord, _ []trial.VersionRecord) error {
 	g := m.group
 	time.Sleep(g.delay())
 	g.mu.Lock()
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -52,8 +52,10 @@
 	// withdrawnTrials are the trials of orders that were withdrawn last. Guarded by mu; by
 	// service.
 	withdrawnTrials map[string]*trial.Trial
-	baselines       map[string]*trial.Baseline // guarded by mu; by service
-	configuredAt    time.Time                  // when the first routing table was set; guarded by mu
+	// histories are what orders have made of versions. Guarded by mu; by service.
+	histories    map[string]*trial.History
+	baselines    map[string]*trial.Baseline // guarded by mu; by service
+	configuredAt time.Time                  // when the first routing table was set; guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators  map[string]*cascade.Escalator
 	answerTimes map[string]*answerTime // guarded by mu; by route
@@ -83,6 +85,7 @@
 		retryBudgets:    map[string]*retry.WindowBudget{},
 		trials:          map[string]*trial.Trial{},
 		withdrawnTrials: map[string]*trial.Trial{},
+		histories:       map[string]*trial.History{},
 		baselines:       map[string]*trial.Baseline{},
 		escalators:      map[string]*cascade.Escalator{},
 		answerTimes:     map[string]*answerTime{},
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"time"
 
 	"banyanyard/core/placement"
@@ -21,8 +22,12 @@
 		}
 		r.trials[o.Service] = t
 		delete(r.withdrawnTrials, o.Service)
+		r.recordTrial(t)
 		return
 	}
+	if replaced := cmp.Or(r.trials[o.Service], r.withdrawnTrials[o.Service]); replaced != nil {
+		r.recordTrial(replaced)
+	}
 	t := trial.New(now, o, r.trialBounds(now))
 	t.Baseline = r.baseline(o.Service)
 	for session, at := range r.sessionLastSeen {
@@ -31,7 +36,8 @@
 	r.trials[o.Service] = t
 	delete(r.withdrawnTrials, o.Service)
 	r.Log.Line("rollout").Str("service", o.Service).Str("to", o.To).Str("version", o.Revision.String()).
-		Millis("duration-ms", o.Duration).Str("state", trial.Running.String()).End()
+		Millis("duration-ms", o.Duration).Str("state", trial.Running.String()).Str("history", historyText(r.history(o.Service))).End()
+	r.recordTrial(t)
 }
 
 // knownTrial returns the trial of the service's latest order if that is for the same
@@ -90,6 +96,7 @@
 	defer r.mu.Unlock()
 	if t := r.trials[service]; t != nil {
 		r.withdrawnTrials[service] = t
+		r.recordTrial(t)
 		r.logTrial(t, "withdrawn")
 	}
 	delete(r.trials, service)
@@ -112,6 +119,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.trials[service]; t != nil && t.Order.To == record.To && t.FollowRecord(record.State) {
+		r.recordTrial(t)
 		r.logTrial(t, source)
 	}
 }
@@ -218,18 +226,13 @@
 	return t != nil && s.Upstream.Version == t.Order.To
 }
 
-// pickWithoutTrial picks an upstream of a service without an order. If an order was
-// withdrawn, or lost by the store, before it was completed, its version is used only if
-// there is no other.
+// pickWithoutTrial picks an upstream of a service without an order: one of the version in
+// force, and another only if there is none.
 func (r *Router) pickWithoutTrial(now time.Time, service string, criteria placement.Criteria) (*placement.Slot, placement.PickResult) {
-	withdrawn := r.withdrawnTrials[service]
-	if withdrawn == nil {
-		return r.fleet.Pick(now, criteria)
-	}
-	if state, _ := withdrawn.State(); state == trial.Completed {
+	if r.histories[service] == nil {
 		return r.fleet.Pick(now, criteria)
 	}
-	slot, result := r.pickVersion(now, criteria, withdrawn, false)
+	slot, result := r.pickInForce(now, criteria, "")
 	if result == placement.NoUpstream {
 		return r.fleet.Pick(now, criteria)
 	}
@@ -237,7 +240,10 @@
 }
 
 func (r *Router) pickVersion(now time.Time, criteria placement.Criteria, t *trial.Trial, toNew bool) (*placement.Slot, placement.PickResult) {
-	criteria.AcceptsVersion = func(version string) bool { return (version == t.Order.To) == toNew }
+	if !toNew {
+		return r.pickInForce(now, criteria, t.Order.To)
+	}
+	criteria.AcceptsVersion = func(version string) bool { return version == t.Order.To }
 	return r.fleet.Pick(now, criteria)
 }
 
@@ -297,6 +303,9 @@
 	service := e.request.Service
 	t := r.trials[service]
 	o.New = t != nil && s.Upstream.Version == t.Order.To
+	if !o.New && !r.isInForce(service, s.Upstream.Version) {
+		return // it is evidence of neither version
+	}
 	if !o.New && !o.Prompt && !o.Failed && !o.Unfinished && o.Duration > 0 {
 		r.baseline(service).Durations.Record(o.Kind, o.Duration)
 	}
@@ -320,6 +329,9 @@
 	t := r.trials[e.request.Service]
 	o := trial.Observation{Kind: e.kind(), Duration: eventGap, Cold: s.Cold}
 	o.New = t != nil && s.Upstream.Version == t.Order.To
+	if !o.New && !r.isInForce(e.request.Service, s.Upstream.Version) {
+		return
+	}
 	if !o.New && !o.Cold {
 		r.baseline(e.request.Service).Gaps.Record(o.Kind, eventGap)
 	}
--- a/node/exchange/trials_test.go
+++ b/node/exchange/trials_test.go
@@ -124,10 +124,21 @@
 	return gossip.Entry{}, nil
 }
 
-type fakeRecords struct{ written []RolloutRecord }
+type fakeRecords struct {
+	written   []RolloutRecord
+	histories [][]trial.VersionRecord // alone, or with a record
+}
 
-func (s *fakeRecords) Write(_ context.Context, _ string, r RolloutRecord) error {
+func (s *fakeRecords) Write(_ context.Context, _ string, r RolloutRecord, history []trial.VersionRecord) error {
 	s.written = append(s.written, r)
+	if history != nil {
+		s.histories = append(s.histories, history)
+	}
+	return nil
+}
+
+func (s *fakeRecords) WriteHistory(_ context.Context, _ string, history []trial.VersionRecord, _ era.Version) error {
+	s.histories = append(s.histories, history)
 	return nil
 }
 
