node/exchange: the choice of a version ends with its order

What callers would see: a request that fails on the version of an order which is stopped and replaced meanwhile is sent again to the new version of the next order, whatever its session and the bound on exposure say. Found by reading, on the path of the fault before. Cause: versionChoice told new from old, not for which order, and an attempt that outlasts its order is no failure of the next order's version. Change: the choice names the version of its order; under another order it is made anew. Evidence: before the change TestChoiceEndsWithItsOrder saw attempts at v2 and v3, now at v2 and v1.

--- a/node/exchange/history_test.go
+++ b/node/exchange/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"reflect"
 	"testing"
 	"testing/synctest"
@@ -191,3 +192,34 @@
 		})
 	}
 }
+
+// TestChoiceEndsWithItsOrder guards against a request whose version was chosen under one order
+// being sent to the version of the next one: it fails on v2, the version of an order that is
+// stopped and replaced meanwhile.
+func TestChoiceEndsWithItsOrder(t *testing.T) {
+	is := is.New(t)
+	r := newVersionsRouter()
+	defer r.Log.Close()
+	r.Bounds.Trial.ExposeShare = 1
+	choosesNew := func(o trial.Order, id string) bool {
+		return trial.New(time.Now(), o, r.Bounds.Trial).ChooseNew(time.Now(), "", id)
+	}
+	id := "0"
+	for !choosesNew(orderTo("v2", 1), id) || choosesNew(orderTo("v3", 2), id) {
+		id += "0"
+	}
+	r.StartTrial(orderTo("v2", 1))
+	var versions []string
+	r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+		versions = append(versions, a.Upstream.Version)
+		if len(versions) > 1 {
+			return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+		}
+		r.AdoptTrialState("s", "v2", trial.Stopped, "test")
+		r.StartTrial(orderTo("v3", 2))
+		return &fakeAnswer{head: Head{Status: http.StatusInternalServerError}}, nil
+	})
+	q := &Request{ID: id, Route: &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	is.NoErr(r.Run(context.Background(), q, &fakeWriter{}))
+	is.Equal(versions, []string{"v2", "v1"})
+}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -173,9 +173,10 @@
 	}
 }
 
-// A versionChoice says whether a request goes to the old or the new version.
+// A versionChoice says whether a request goes to the old or the new version of an order.
+// The request may outlast that order.
 type versionChoice struct {
-	made  bool // toNew is valid
+	to    string // version of the order; empty if there is no choice yet
 	toNew bool
 }
 
@@ -199,10 +200,10 @@
 		choice.toNew = false
 	case t.Moved(now):
 		choice.toNew = true
-	case !choice.made:
+	case choice.to != t.Order.To:
 		choice.toNew = t.ChooseNew(now, q.Session, q.ID)
 	}
-	choice.made = true
+	choice.to = t.Order.To
 	slot, pickResult := r.pickVersion(now, criteria, t, choice.toNew)
 	// Use the other version if the chosen one has no upstream, but start nothing on
 	// the old version once all traffic has moved: other instances may record the
