node/exchange: an order for the version in force is completed at once

What callers would see: the operator orders the version in force again while another one is on trial, to go back to it. Its requests then go to what is left of other versions for the order's duration. Cause: a trial needs an old version; an order for the version in force has none. Change: a trial of the version in force is completed from the start, also if the history of versions is read after the order.

--- a/node/exchange/history.go
+++ b/node/exchange/history.go
@@ -43,8 +43,21 @@
 // mergeHistory adds what a stored history knows. The caller holds mu.
 func (r *Router) mergeHistory(service string, records []trial.VersionRecord) {
 	h := r.history(service)
-	if h.Merge(records) {
-		r.logHistory(service, h, "store")
+	if !h.Merge(records) {
+		return
+	}
+	r.logHistory(service, h, "store")
+	if t := r.trials[service]; t != nil {
+		r.completeIfInForce(t)
+	}
+}
+
+// completeIfInForce completes the trial of an order for the version that is in force
+// already: there is no other version that its requests could go to. The caller holds mu.
+func (r *Router) completeIfInForce(t *trial.Trial) {
+	if r.history(t.Order.Service).Current() == t.Order.To && t.AdoptState(trial.Completed, "the version is in force") {
+		r.recordTrial(t)
+		r.logTrial(t, "history")
 	}
 }
 
--- a/node/exchange/history_test.go
+++ b/node/exchange/history_test.go
@@ -223,3 +223,37 @@
 	is.NoErr(r.Run(context.Background(), q, &fakeWriter{}))
 	is.Equal(versions, []string{"v2", "v1"})
 }
+
+// TestOrderForVersionInForce guards against an order for the version in force sending its
+// requests to the version of the order that it replaces, as there is no old version.
+func TestOrderForVersionInForce(t *testing.T) {
+	tests := []struct {
+		name   string
+		orders func(r *Router, c *RolloutCoordinator)
+	}{
+		{name: "another one is on trial", orders: func(r *Router, _ *RolloutCoordinator) {
+			r.StartTrial(orderTo("v2", 1))
+			r.AdoptTrialState("s", "v2", trial.Completed, "test")
+			r.StartTrial(orderTo("v3", 2))
+			r.StartTrial(orderTo("v2", 3))
+		}},
+		{name: "the history is read after the order", orders: func(r *Router, c *RolloutCoordinator) {
+			r.StartTrial(orderTo("v2", 3))
+			c.ApplyHistory("s", []trial.VersionRecord{
+				{Version: "v2", Latest: trial.Ended{Order: 1, State: trial.Completed}, Completed: 1},
+				{Version: "v3", Latest: trial.Ended{Order: 2}},
+			}, 12)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newVersionsRouter()
+			defer r.Log.Close()
+			r.configuredAt = time.Now().Add(-time.Minute)
+			tt.orders(r, &RolloutCoordinator{Router: r, Instance: "i0"})
+			is.Equal(countPicks(r), map[string]int{"v2": 100})
+			is.Equal(trialState(r, "s"), "completed")
+		})
+	}
+}
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -37,6 +37,7 @@
 	delete(r.withdrawnTrials, o.Service)
 	r.Log.Line("rollout").Str("service", o.Service).Str("to", o.To).Str("version", o.Revision.String()).
 		Millis("duration-ms", o.Duration).Str("state", trial.Running.String()).Str("history", historyText(r.history(o.Service))).End()
+	r.completeIfInForce(t)
 	r.recordTrial(t)
 }
 
