node/exchange, platform: an instance that starts waits for the states of earlier orders

What callers would see: an instance that starts between two orders sends requests to a version that was rolled back until the rows of the status table have come from others, some 100 ms to a second. Cause: the states of orders were taken as news that can wait; the order itself is read at once.

--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -53,9 +53,13 @@
 	// service.
 	withdrawnTrials map[string]*trial.Trial
 	// histories are what orders have made of versions. Guarded by mu; by service.
-	histories    map[string]*trial.History
-	baselines    map[string]*trial.Baseline // guarded by mu; by service
-	configuredAt time.Time                  // when the first routing table was set; guarded by mu
+	histories map[string]*trial.History
+	// statesKnown are the services whose stored states of orders have been read. Guarded by mu.
+	statesKnown map[string]bool
+	// statesExpected is true while the states of orders are being read. Guarded by mu.
+	statesExpected bool
+	baselines      map[string]*trial.Baseline // guarded by mu; by service
+	configuredAt   time.Time                  // when the first routing table was set; guarded by mu
 	// escalators decide whether a larger model answers. Guarded by mu; by service.
 	escalators  map[string]*cascade.Escalator
 	answerTimes map[string]*answerTime // guarded by mu; by route
@@ -85,6 +89,7 @@
 		retryBudgets:    map[string]*retry.WindowBudget{},
 		trials:          map[string]*trial.Trial{},
 		withdrawnTrials: map[string]*trial.Trial{},
+		statesKnown:     map[string]bool{},
 		histories:       map[string]*trial.History{},
 		baselines:       map[string]*trial.Baseline{},
 		escalators:      map[string]*cascade.Escalator{},
@@ -130,6 +135,61 @@
 // once.
 func (r *Router) SetUpstreamsKnown() { r.upstreamsKnown.Store(true) }
 
+// ExpectOrderStates makes requests wait for the stored states of earlier orders, where the
+// instance starts while there is an order, until SetOrderStatesKnown or for maxStateWait.
+func (r *Router) ExpectOrderStates() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statesExpected = true
+}
+
+// SetOrderStatesKnown records that the stored states of all orders have been read.
+func (r *Router) SetOrderStatesKnown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statesExpected = false
+}
+
+// LacksOrderStates reports whether there is an order that is older than this instance, and
+// the stored states of its service have not been read.
+func (r *Router) LacksOrderStates() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service := range r.trials {
+		if r.lacksStates(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacksStates reports whether the versions that earlier orders were for may not be known.
+// The caller holds mu.
+func (r *Router) lacksStates(service string) bool {
+	return r.statesExpected && r.trials[service] != nil && !r.statesKnown[service]
+}
+
+// maxStateWait bounds the wait for the states of orders, from the first configuration on.
+// The store may be silent.
+const maxStateWait = time.Second
+
+// awaitsStates reports whether requests to a service are to wait for the states of earlier
+// orders. The caller holds mu.
+func (r *Router) awaitsStates(now time.Time, service string) bool {
+	return r.lacksStates(service) && now.Sub(r.configuredAt) < maxStateWait
+}
+
+// awaitsRows reports whether a service that seems to have no upstream may have one in rows
+// that have not been read yet.
+func (r *Router) awaitsRows(service string) bool {
+	if !r.upstreamsKnown.Load() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.awaitsStates(time.Now(), service)
+}
+
 // WithFleet calls f with the current time and the fleet while it holds mu. f must
 // not block or call methods of the router.
 func (r *Router) WithFleet(f func(now time.Time, fleet *placement.Fleet)) {
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -194,8 +194,8 @@
 			e.tried = nil
 			continue
 		}
-		// Before all registrations have been read, an upstream may still appear.
-		if pickResult == placement.NoUpstream && e.router.upstreamsKnown.Load() || time.Now().After(waitUntil) {
+		// Before all rows have been read, an upstream may still appear.
+		if pickResult == placement.NoUpstream && !e.router.awaitsRows(e.request.Service) || time.Now().After(waitUntil) {
 			return nil, e.noUpstreamError(pickResult)
 		}
 		if pickResult == placement.UpstreamsBusy {
--- a/node/exchange/storedhistory.go
+++ b/node/exchange/storedhistory.go
@@ -29,6 +29,7 @@
 		c.histories = map[string]storedHistory{}
 	}
 	c.histories[service] = stored
+	r.statesKnown[service] = true
 	r.mergeHistory(service, records)
 }
 
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -28,7 +28,11 @@
 	if replaced := cmp.Or(r.trials[o.Service], r.withdrawnTrials[o.Service]); replaced != nil {
 		r.recordTrial(replaced)
 	}
-	t := trial.New(now, o, r.trialBounds(now))
+	bounds := r.trialBounds(now)
+	if !bounds.Joined {
+		r.statesKnown[o.Service] = true // it has learnt of earlier orders as they came
+	}
+	t := trial.New(now, o, bounds)
 	t.Baseline = r.baseline(o.Service)
 	for session, at := range r.sessionLastSeen {
 		t.RecordOldSession(session, at)
@@ -175,7 +179,7 @@
 }
 
 // A versionChoice says whether a request goes to the old or the new version of an order.
-// The request may outlast that order.
+// A request may outlast the order for which it was made.
 type versionChoice struct {
 	to    string // version of the order; empty if there is no choice yet
 	toNew bool
@@ -194,6 +198,9 @@
 	if t == nil {
 		return r.pickWithoutTrial(now, q.Service, criteria)
 	}
+	if r.awaitsStates(now, q.Service) {
+		return nil, placement.NoUpstream
+	}
 	t.Instances = r.fleet.NumInstances()
 	state, _ := t.State()
 	switch {
