core/trial, node/exchange: a stop is recorded once its sessions have gone back

What callers saw: under the next order, the requests of sessions that had been on the rolled back version ran on another version than the one before in their session. Cause: the record of a stop was written at once, and the next order follows it within a moment, while sessions were last seen on the stopped version; there is no version left that they could keep. Traffic stops at once as before, and so does the history row tell it, so that an instance that starts meanwhile keeps to the stop.

--- a/core/trial/completion.go
+++ b/core/trial/completion.go
@@ -29,6 +29,7 @@
 // the record, so it decides: a completion replaces a stop, since the upstreams of the old
 // version end with it. It reports whether the state changed.
 func (t *Trial) FollowRecord(s State) bool {
+	t.stopRecorded = t.stopRecorded || s == Stopped
 	if s == Running || s == t.state {
 		return false
 	}
--- a/core/trial/history.go
+++ b/core/trial/history.go
@@ -144,5 +144,10 @@
 	return func(version string) bool { _, ordered := h.fates[version]; return !ordered }
 }
 
+// StoppedBy reports whether an order, or a later one for its version, was stopped.
+func (h *History) StoppedBy(o Order) bool {
+	return h.Stopped(o.To) && h.fates[o.To].latest.Order >= o.Revision
+}
+
 // Stopped reports whether the newest order for a version was stopped.
 func (h *History) Stopped(version string) bool { return h.fates[version].latest.State == Stopped }
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -205,6 +205,7 @@
 	history      []trial.VersionRecord // of the service, if the stored one lacks something; nil otherwise
 	// collectors are the addresses of the instances to report to.
 	collectors []string
+	held       bool // a stop is not to be recorded yet; see trial.Trial.MayRecordStop
 }
 
 func (c *RolloutCoordinator) checkTrials(now time.Time) []trialCheck {
@@ -238,6 +239,8 @@
 			c.logBlocker(now, t, oldRunning, blocker)
 		}
 		check.rank, check.collectors = rank, collectors
+		newRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version == t.Order.To })
+		check.held = !t.MayRecordStop(now, newRunning)
 		r.recordTrial(t)
 		check.history = c.historyToWrite(check)
 		checks = append(checks, check)
@@ -315,7 +318,7 @@
 	}
 	// Once the traffic has moved, what is in flight decides when the trial may end.
 	due := report || check.report.OldRunning >= 0
-	if !stopped && !(due && check.state == trial.Running) {
+	if !(stopped && !check.held) && !(due && (stopped || check.state == trial.Running)) {
 		return
 	}
 	data, err := json.Marshal(check.report)
@@ -365,6 +368,9 @@
 	if check.storedRecord.Revision == check.order.Revision && check.storedRecord.State != trial.Running && check.storedRecord.Version > 0 {
 		return // a final state is never replaced
 	}
+	if check.held {
+		return
+	}
 	now := time.Now()
 	delay := rankDelay
 	if check.wantState == trial.Completed {
--- a/node/exchange/trials.go
+++ b/node/exchange/trials.go
@@ -223,10 +223,19 @@
 	}
 	if slot != nil {
 		t.CountAttempt(slot.Upstream.Version == t.Order.To)
+		r.recordSessionOnNew(now, q, slot)
 	}
 	return slot, pickResult
 }
 
+// recordSessionOnNew records that a request of a session begins or ends on the version that
+// a roll-out is to, if it does. The caller holds mu.
+func (r *Router) recordSessionOnNew(now time.Time, q *Request, s *placement.Slot) {
+	if t := r.trials[q.Service]; t != nil && q.Session != "" && s.Upstream.Version == t.Order.To {
+		t.RecordSessionOnNew(now)
+	}
+}
+
 // isOnTrial reports whether an upstream has the version that a roll-out is to.
 func (r *Router) isOnTrial(s *placement.Slot) bool {
 	r.mu.Lock()
@@ -276,6 +285,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.fleet.Release(now, s, outcome)
+	r.recordSessionOnNew(now, e.request, s)
 	r.recordOutcome(e, s, result)
 	broken := result.outcome == placement.Silent || result.outcome == placement.Broken
 	return broken && r.fleet.IsUnreachable(now, s)
