node/exchange, core/trial: a session is recent until some time after its last request has ended

What callers saw: a session whose last answer took seconds was sent to the new version in the first half of an order, or back from it, as if it were a new one. Cause: a session's time began with the choice of an upstream for its last request; the session timeout counts from that request's end. Other instances were told of it by the same time. Change: sessions are refreshed while a request of theirs runs, and at its end. Evidence: before the change TestSessionCountsFromEndOfItsRequest and TestRunningRequestKeepsItsSession failed (no session told, 0 of 1).

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -325,6 +325,13 @@
 	}
 }
 
+// RefreshSession records that a request of a session runs, or has ended.
+func (t *Trial) RefreshSession(now time.Time, session string) {
+	if s := t.sessions[session]; s != nil {
+		s.lastSeen = now
+	}
+}
+
 // WithinExposeShare reports whether another request may go to the new version before
 // the traffic moves.
 func (t *Trial) WithinExposeShare() bool {
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -212,6 +212,9 @@
 	r := c.Router
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for session := range r.sessionsRunning {
+		r.refreshSession(now, session)
+	}
 	others := c.otherInstances()
 	var checks []trialCheck
 	for service, t := range r.trials {
--- a/node/exchange/history_test.go
+++ b/node/exchange/history_test.go
@@ -258,3 +258,91 @@
 		})
 	}
 }
+
+// choosesNew reports whether a new session would go to the version of an order.
+func choosesNew(r *Router, version, session string) bool {
+	began := time.Now()
+	return trial.New(began, orderTo(version, 1), r.Bounds.Trial).ChooseNew(began.Add(5*time.Second), session, "")
+}
+
+// TestSessionCountsFromEndOfItsRequest guards against a session whose last request took long
+// counting as a new one, which goes to the new version in the first half of an order.
+func TestSessionCountsFromEndOfItsRequest(t *testing.T) {
+	tests := []struct {
+		name    string
+		ordered time.Duration // after the first request has begun
+	}{
+		{name: "ordered while the request runs", ordered: time.Second},
+		{name: "ordered after its end", ordered: 8 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newVersionsRouter()
+				defer r.Log.Close()
+				r.Bounds.Trial.ExposeShare = 1
+				r.configuredAt = time.Now().Add(-time.Minute)
+				c := &RolloutCoordinator{Router: r, Instance: "i0"}
+				session := "s"
+				for !choosesNew(r, "v2", session) {
+					session += "s"
+				}
+				var versions []string
+				r.Transport = transportFunc(func(a *Attempt) (Answer, error) {
+					versions = append(versions, a.Upstream.Version)
+					time.Sleep(7 * time.Second)
+					return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+				})
+				send := func() {
+					route := &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1}
+					q := &Request{ID: "q", Session: session, Route: route, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+					is.NoErr(r.Run(context.Background(), q, &fakeWriter{}))
+				}
+				r.StartTrial(orderTo("v3", 1)) // the first request must not go to v2
+				r.AdoptTrialState("s", "v3", trial.Stopped, "test")
+				go send()
+				time.Sleep(tt.ordered)
+				r.StartTrial(orderTo("v2", 2))
+				time.Sleep(9*time.Second - tt.ordered)
+				told := c.checkTrials(time.Now())[0].report.OldSessions
+				is.Equal(len(told), 1) // other instances learn that it is on the old version
+				send()
+				is.Equal(versions, []string{"v1", "v1"})
+			})
+		})
+	}
+}
+
+// TestRunningRequestKeepsItsSession guards against other instances forgetting a session on the
+// old version while its request runs, as the next one may come to them at its end.
+func TestRunningRequestKeepsItsSession(t *testing.T) {
+	is := is.New(t)
+	r := newVersionsRouter()
+	defer r.Log.Close()
+	r.Bounds.Trial.ExposeShare = 1
+	c := &RolloutCoordinator{Router: r, Instance: "i0"}
+	session := "s"
+	for !choosesNew(r, "v2", session) {
+		session += "s"
+	}
+	running, release := make(chan bool), make(chan bool)
+	r.Transport = transportFunc(func(*Attempt) (Answer, error) {
+		running <- true
+		<-release
+		return &fakeAnswer{head: Head{Status: http.StatusOK}}, nil
+	})
+	ended := make(chan error)
+	go func() {
+		route := &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1}
+		q := &Request{ID: "q", Session: session, Route: route, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+		ended <- r.Run(context.Background(), q, &fakeWriter{})
+	}()
+	<-running
+	r.StartTrial(orderTo("v2", 1))
+	later := time.Now().Add(8 * time.Second)
+	is.Equal(len(c.checkTrials(later)[0].report.OldSessions), 1)
+	close(release)
+	is.NoErr(<-ended)
+	is.Equal(len(c.checkTrials(later)[0].report.OldSessions), 0)
+}
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -67,6 +67,9 @@
 	domainDemand load.Domains
 	// sessionLastSeen holds the time of each session's last request. Guarded by mu.
 	sessionLastSeen map[string]time.Time
+	// sessionsRunning holds the number of each session's requests that are being answered.
+	// Guarded by mu.
+	sessionsRunning map[string]int
 	// trialNews signals that the evidence has stopped a trial, or that a load test has begun.
 	// Other instances are to learn of either at once. Its capacity is 1:
 	// if the channel is full, a check of all trials is already due.
@@ -95,6 +98,7 @@
 		escalators:      map[string]*cascade.Escalator{},
 		answerTimes:     map[string]*answerTime{},
 		sessionLastSeen: map[string]time.Time{},
+		sessionsRunning: map[string]int{},
 		trialNews:       make(chan struct{}, 1),
 	}
 }
@@ -258,10 +262,40 @@
 	minBudgetInstances = 8
 )
 
-func (r *Router) recordRequest(service string) {
+// beginRequest counts a request for the retry budget of its service, and for its session.
+func (r *Router) beginRequest(q *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.retryBudget(service).RecordRequest(time.Now())
+	r.retryBudget(q.Service).RecordRequest(time.Now())
+	if q.Session != "" {
+		r.sessionsRunning[q.Session]++
+	}
+}
+
+// endRequest records the end of a request. Its session counts as recent from then on.
+func (r *Router) endRequest(q *Request) {
+	if q.Session == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshSession(time.Now(), q.Session)
+	r.sessionsRunning[q.Session]--
+	if r.sessionsRunning[q.Session] == 0 {
+		delete(r.sessionsRunning, q.Session)
+	}
+}
+
+// refreshSession records that a session has, or had, a request at a time. The caller holds
+// mu.
+func (r *Router) refreshSession(now time.Time, session string) {
+	if _, known := r.sessionLastSeen[session]; !known {
+		return // no request of it has been sent to an upstream
+	}
+	r.sessionLastSeen[session] = now
+	for _, t := range r.trials {
+		t.RefreshSession(now, session)
+	}
 }
 
 // mayRetry reports whether the retry budget of a service allows another attempt.
--- a/node/exchange/run.go
+++ b/node/exchange/run.go
@@ -107,7 +107,8 @@
 	defer cancel()
 	ctx, unwatch := e.untilStop(ctx)
 	defer unwatch()
-	r.recordRequest(q.Service)
+	r.beginRequest(q)
+	defer r.endRequest(q)
 	err := e.run(ctx)
 	e.recordResult(err)
 	return err
