--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -217,40 +217,54 @@
 	}
 	others := c.otherInstances()
 	var checks []trialCheck
-	for service, t := range r.trials {
-		t.Instances = r.fleet.NumInstances()
-		rank, collectors := c.rankInstances(service)
-		t.Rank = rank
-		if t.GiveUp(now) {
-			r.logTrial(t, "evidence")
-		}
-		if start, ok := t.TakeClearance(); ok {
-			exposure := t.TotalExposure()
-			r.Log.Line("rollout-cleared").Str("service", service).Str("to", t.Order.To).Str("version", t.Order.Revision.String()).
-				Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).
-				Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
-		}
-		oldRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version != t.Order.To })
-		check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service]}
-		check.state, _ = t.State()
-		check.wantState = check.state
-		blocker := t.CompletionBlocker(now, oldRunning, others)
-		if blocker == "" {
-			check.wantState = trial.Completed
-		}
-		if rank < collectorCount && check.state == trial.Running && t.IsEnding(now) {
-			c.logBlocker(now, t, oldRunning, blocker)
-		}
-		check.rank, check.collectors = rank, collectors
-		newRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version == t.Order.To })
-		check.held = !t.MayRecordStop(now, newRunning)
-		r.recordTrial(t)
-		check.history = c.historyToWrite(check)
-		checks = append(checks, check)
+	for _, t := range r.trials {
+		checks = append(checks, c.checkTrial(now, t, others))
 	}
 	return checks
 }
 
+// checkTrial moves one trial forward and says what is to be sent and written. The caller holds
+// Router.mu.
+func (c *RolloutCoordinator) checkTrial(now time.Time, t *trial.Trial, others trial.Others) trialCheck {
+	r, service := c.Router, t.Order.Service
+	t.Instances = r.fleet.NumInstances()
+	rank, collectors := c.rankInstances(service)
+	t.Rank = rank
+	if t.GiveUp(now) {
+		r.logTrial(t, "evidence")
+	}
+	c.logClearance(now, t)
+	oldRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version != t.Order.To })
+	newRunning := r.fleet.RunningAttempts(service, func(version string) bool { return version == t.Order.To })
+	check := trialCheck{order: t.Order, report: t.Report(now, oldRunning), storedRecord: c.records[service], rank: rank, collectors: collectors}
+	check.state, _ = t.State()
+	check.wantState = check.state
+	blocker := t.CompletionBlocker(now, oldRunning, others)
+	if blocker == "" {
+		check.wantState = trial.Completed
+	}
+	if rank < collectorCount && check.state == trial.Running && t.IsEnding(now) {
+		c.logBlocker(now, t, oldRunning, blocker)
+	}
+	check.held = !t.MayRecordStop(now, newRunning)
+	r.recordTrial(t)
+	check.history = c.historyToWrite(check)
+	return check
+}
+
+// logClearance logs when the traffic moves, once that has been decided. The caller holds
+// Router.mu.
+func (c *RolloutCoordinator) logClearance(now time.Time, t *trial.Trial) {
+	start, ok := t.TakeClearance()
+	if !ok {
+		return
+	}
+	exposure := t.TotalExposure()
+	c.Router.Log.Line("rollout-cleared").Str("service", t.Order.Service).Str("to", t.Order.To).Str("version", t.Order.Revision.String()).
+		Int("instances", int64(t.Instances)).Millis("move-at-ms", start).Millis("age-ms", now.Sub(t.StartTime())).
+		Int("new-attempts", int64(exposure.New)).Int("attempts", int64(exposure.All)).Str("evidence", t.EvidenceText()).End()
+}
+
 // logBlocker logs why a trial is not recorded as completed at the end of its time, each
 // time that the reason changes. The caller holds Router.mu.
 func (c *RolloutCoordinator) logBlocker(now time.Time, t *trial.Trial, oldRunning int, blocker string) {
