--- a/core/trial/history.go
+++ b/core/trial/history.go
@@ -16,8 +16,9 @@
 // version in force, which upstreams of other versions that are still there have lost, or
 // never had. The zero History knows of no order.
 //
-// Invariant: the result of merging histories depends neither on their order nor on how
-// often each is merged, so that instances which have learnt the same agree.
+// Invariant: as long as there are at most maxHistory versions, the result of merging histories
+// depends neither on their order nor on how often each is merged, so that instances which
+// have learnt the same agree.
 type History struct {
 	fates map[string]fate // by version
 }
--- a/core/trial/settle.go
+++ b/core/trial/settle.go
@@ -18,9 +18,9 @@
 }
 
 // MayRecordStop reports whether the stop may be written to the order's record. Operators
-// write the next order once it is there, and a session that was last seen on the stopped
-// version would then change its version without need for the service's one. So the record
-// waits until these sessions have gone back or ended, but not beyond the order's deadline.
+// write the next order once it is there, and sessions that were last seen on the stopped
+// version would change theirs under that order. So the record waits until these sessions
+// have gone back or ended, but not beyond the order's deadline.
 // newRunning is the number of this instance's attempts in flight on the new version.
 func (t *Trial) MayRecordStop(now time.Time, newRunning int) bool {
 	if t.state != Stopped || t.stopRecorded || now.Sub(t.startTime) >= t.Order.Duration-stopRecordMargin {
