io/process, io/peer, platform: the log tells when the process is late, what calls it gets, and how old its rows are

Cause: none of the logs could tell whether an instance that falls behind lacks processor time, link or news. Change: a line "process" where a check runs 150 ms late or the rows are older than 2 s, at most one a second, with the delay, the processor time, the goroutines that are ready to run, the calls of other instances by method, the bytes exchanged with them and the age of the rows. A refusal by the routes or keys logs the age of the rows, too. Measured: TestMonitorLogsDelays.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -121,6 +121,7 @@
 	if m == nil || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 	}
+	s.traffic.countCall(r.Method)
 	return m(ctx, s.handler, *r.Params)
 }
 
--- a/node/exchange/metrics.go
+++ b/node/exchange/metrics.go
@@ -139,5 +139,9 @@
 	if t := r.table.Load(); t != nil {
 		version = t.Version
 	}
-	r.Log.Line("request").Str("request", id).Str("path", path).Int("config-version", version).Str("outcome", string(e.Kind)).Err(e).End()
+	line := r.Log.Line("request").Str("request", id).Str("path", path).Int("config-version", version).Str("outcome", string(e.Kind))
+	if r.RowsAge != nil {
+		line.Millis("rows-age-ms", r.RowsAge())
+	}
+	line.Err(e).End()
 }
--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -34,6 +34,9 @@
 	Verdicts VerdictStore
 	// Usage counts the requests that began to run; nil if nothing does.
 	Usage UsageCounter
+	// RowsAge returns how old the configuration and the other rows of the store may be that
+	// this instance knows; nil if that is not known.
+	RowsAge func() time.Duration
 
 	instance string
 	table    atomic.Pointer[routing.Table]
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -288,8 +288,8 @@
 	return m.reachClient.Reach(ctx, address, q)
 }
 
-// BytesSent returns the number of bytes sent to other instances.
-func (m *Mesh) BytesSent() int64 { return m.traffic.Sent.Load() }
+// Traffic returns what has been exchanged with other instances.
+func (m *Mesh) Traffic() *peer.Traffic { return &m.traffic }
 
 // Leave tells the other instances that this one takes no new work.
 func (m *Mesh) Leave(ctx context.Context) {
