io/peer: a connection that is being opened as its client is closed is closed as well

Cause: Close dropped the connections that were open. One whose dial was still running was added afterwards, and nobody closed it. Change: a closed client keeps no connection; the call that opened it fails. Evidence: found as connections that outlived all instances of a test with narrow links. TestClosedClientKeepsNoConnection failed before.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -10,6 +10,7 @@
 	"banyanyard/core/reach"
 	"banyanyard/io/tcp"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -21,9 +22,11 @@
 	traffic *Traffic
 
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn // guarded by mu; keyed by address
+	conns map[string]*jsonrpc2.Conn // guarded by mu; keyed by address; nil once the client is closed
 }
 
+var errClientClosed = errors.New("the client of other instances is closed")
+
 // NewClient returns a client that counts its bytes in traffic. A nil dial means
 // tcp.DialContext; a nil TLS configuration means plain text.
 func NewClient(dial tcp.DialFunc, c *tls.Config, traffic *Traffic) *Client {
@@ -120,7 +123,12 @@
 	conn = newConn(context.WithoutCancel(ctx), c.traffic.countConn(raw), ignoreRequests{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other := c.conns[address]; other != nil {
+	other := c.conns[address]
+	switch {
+	case c.conns == nil:
+		go func() { _ = conn.Close() }()
+		return nil, errClientClosed
+	case other != nil:
 		go func() { _ = conn.Close() }()
 		return other, nil
 	}
@@ -152,11 +160,11 @@
 	_ = conn.Close()
 }
 
-// Close closes all connections.
+// Close closes all connections, also those that are being opened. Later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
 	conns := c.conns
-	c.conns = map[string]*jsonrpc2.Conn{}
+	c.conns = nil
 	c.mu.Unlock()
 	for _, conn := range conns {
 		_ = conn.Close()
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -56,6 +57,27 @@
 	is.NoErr(c.HoldCharges(t.Context(), "10.0.0.1:8081", hold)) // on a new connection
 }
 
+// TestClosedClientKeepsNoConnection guards against a connection that outlives its client because it was being opened while that was closed.
+func TestClosedClientKeepsNoConnection(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	dialing, closed := make(chan struct{}), make(chan struct{})
+	c := NewClient(func(context.Context, string, string) (net.Conn, error) {
+		close(dialing)
+		<-closed
+		return near, nil
+	}, nil, &Traffic{})
+	done := make(chan error)
+	go func() { done <- c.HoldCharges(t.Context(), "10.0.0.1:8081", HoldRequest{}) }()
+	<-dialing
+	c.Close()
+	close(closed)
+	is.NoErr(far.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err := far.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.True(<-done != nil)
+}
+
 func TestSplitProtocols(t *testing.T) {
 	is := is.New(t)
 	var n network.Network
