node/exchange: a collector is sent the next report once it has answered the last one

What callers saw: instances that collect the reports of a roll-out refuse by old routes and take connections late, for as long as the order is not recorded, also seconds after its time. Cause: reports were sent at fixed intervals, whether or not the ones before had been answered. To a collector that takes a second an instance had four under way; each ended by time-out, closed the connection with all that was under way on it, and a new one was opened. Work of which a collector gets more the further it is behind. Change: one report at a time from each instance to each collector. Reports are totals, so that the next one includes what was left out. Evidence: TestBusyCollectorIsNotSentMoreReports failed before.

--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"banyanyard/core/era"
@@ -80,9 +81,15 @@
 	writeDue  map[string]time.Time     // earliest next write of a record, by service; used by Run only
 	blockers  map[string]string        // that were logged last; guarded by Router.mu; by service
 
+	reportsMu sync.Mutex
+	reporting map[reportPath]bool // reports that have not been answered; guarded by reportsMu
+
 	historyDue map[string]time.Time // earliest next write of a history alone, by service; used by Run only
 }
 
+// A reportPath is a service and the address of an instance that collects the reports on it.
+type reportPath struct{ service, address string }
+
 // SetMembers replaces the instances that may be running.
 func (c *RolloutCoordinator) SetMembers(all []member.Status) {
 	names := make([]string, 0, len(all))
@@ -345,10 +352,38 @@
 	}
 	e := gossip.Entry{Key: check.order.Service + "/" + c.Instance, Data: data}
 	for _, address := range check.collectors {
-		go c.sendReport(ctx, check.order.Service, address, e)
+		path := reportPath{check.order.Service, address}
+		if !c.beginReport(path) {
+			continue // the next report includes this one
+		}
+		go func() {
+			defer c.endReport(path)
+			c.sendReport(ctx, path.service, path.address, e)
+		}()
 	}
 }
 
+// beginReport reports whether a report may be sent: not before the last one has been answered
+// or has failed, so that a collector that is slow gets fewer.
+func (c *RolloutCoordinator) beginReport(p reportPath) bool {
+	c.reportsMu.Lock()
+	defer c.reportsMu.Unlock()
+	if c.reporting[p] {
+		return false
+	}
+	if c.reporting == nil {
+		c.reporting = map[reportPath]bool{}
+	}
+	c.reporting[p] = true
+	return true
+}
+
+func (c *RolloutCoordinator) endReport(p reportPath) {
+	c.reportsMu.Lock()
+	defer c.reportsMu.Unlock()
+	delete(c.reporting, p)
+}
+
 // publishStop tells the other instances that the trial of an order has been stopped.
 func (c *RolloutCoordinator) publishStop(ctx context.Context, o trial.Order) {
 	data, err := json.Marshal(o.To)
--- /dev/null
+++ b/node/exchange/reports_test.go
@@ -0,0 +1,56 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanyard/core/gossip"
+
+	"github.com/matryer/is"
+)
+
+// slowPeers are a PeerClient whose collectors take a time to answer. It counts the reports.
+type slowPeers struct {
+	groupMember
+	delay   time.Duration
+	reports chan string // the addresses that they were sent to
+	ended   chan string // the addresses that have answered
+}
+
+func (p *slowPeers) Report(ctx context.Context, address string, e gossip.Entry) (gossip.Entry, error) {
+	p.reports <- address
+	select {
+	case <-time.After(p.delay):
+	case <-ctx.Done():
+		return gossip.Entry{}, ctx.Err()
+	}
+	p.ended <- address
+	return p.groupMember.Report(ctx, address, e)
+}
+
+// runSlowly runs a group in which the first instance's reports are answered late, and returns
+// them.
+func runSlowly(t *testing.T, delay, duration time.Duration) *slowPeers {
+	g := newRolloutGroup(t, 5, 1)
+	p := &slowPeers{groupMember: groupMember{group: g}, delay: delay, reports: make(chan string, 1000), ended: make(chan string, 1000)}
+	g.coordinators[0].Peers = p
+	time.Sleep(duration)
+	return p
+}
+
+// TestBusyCollectorIsNotSentMoreReports guards against an instance that falls behind with reports and is sent more all the while.
+func TestBusyCollectorIsNotSentMoreReports(t *testing.T) {
+	for _, delay := range []time.Duration{700 * time.Millisecond, 5 * time.Second} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := runSlowly(t, delay, groupOrderDuration/2)
+				is.True(len(p.reports)-len(p.ended) <= collectorCount)
+				is.True(len(p.reports) > collectorCount) // and it goes on
+			})
+		})
+	}
+}
