node/exchange: reports come twice a second unless what is in flight on the old version has changed

Cause: once the traffic had moved, every instance reported at each check, four times a second, until the order was recorded. The rate was meant for the count of what is in flight on the old version, which is 0 at most instances after a moment. Change: a report beyond the two a second is sent only if that count differs from the last one. Evidence: TestReportsArePacedOnceTheTrafficHasMoved failed before (40 reports in 5 s where 20 are allowed).

--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -85,6 +85,8 @@
 	reporting map[reportPath]bool // reports that have not been answered; guarded by reportsMu
 
 	historyDue map[string]time.Time // earliest next write of a history alone, by service; used by Run only
+	// reportedOldRunning is OldRunning of the last report, by service; used by Run only.
+	reportedOldRunning map[string]int
 }
 
 // A reportPath is a service and the address of an instance that collects the reports on it.
@@ -180,6 +182,7 @@
 func (c *RolloutCoordinator) Run(ctx context.Context) {
 	c.writeDue = map[string]time.Time{}
 	c.historyDue = map[string]time.Time{}
+	c.reportedOldRunning = map[string]int{}
 	ticker := time.NewTicker(trialCheckInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -341,7 +344,7 @@
 		c.publishStop(ctx, check.order)
 	}
 	// Once the traffic has moved, what is in flight decides when the trial may end.
-	due := report || check.report.OldRunning >= 0
+	due := report || c.reportedOldRunning[check.order.Service] != check.report.OldRunning
 	if !(stopped && !check.held) && !(due && (stopped || check.state == trial.Running)) {
 		return
 	}
@@ -351,6 +354,7 @@
 		return
 	}
 	e := gossip.Entry{Key: check.order.Service + "/" + c.Instance, Data: data}
+	c.reportedOldRunning[check.order.Service] = check.report.OldRunning
 	for _, address := range check.collectors {
 		path := reportPath{check.order.Service, address}
 		if !c.beginReport(path) {
--- a/node/exchange/reports_test.go
+++ b/node/exchange/reports_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/trial"
 
 	"github.com/matryer/is"
 )
@@ -54,3 +55,19 @@
 		})
 	}
 }
+
+// TestReportsArePacedOnceTheTrafficHasMoved guards against instances that report more often than there is news, all at the same time.
+func TestReportsArePacedOnceTheTrafficHasMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRolloutGroup(t, 5, 1)
+		g.set(func(g *rolloutGroup) { g.isolated = 4 }) // so that the order is not completed
+		p := &slowPeers{groupMember: groupMember{group: g}, reports: make(chan string, 1000), ended: make(chan string, 1000)}
+		g.coordinators[0].Peers = p
+		time.Sleep(groupOrderDuration + time.Second)
+		is.Equal(g.currentRecord().State, trial.Running)
+		before := len(p.reports)
+		time.Sleep(5 * time.Second)
+		is.True(len(p.reports)-before <= 5*2*collectorCount) // two a second to each
+	})
+}
