node/exchange, platform: a request is not refused for good by rows that are 2 s old

What callers saw: 404 for a route that had been added more than 3 s before ("refused with 404 as an older version says"). Callers do not send such a request again. Cause: an instance that has fallen behind, for whatever reason, knows how old its rows are, but refused by its routes, keys and limit of bodies as if they were in force. Class: knowledge that is acted upon whatever its age. Change: from an age of 2 s on, which is the bound for a configuration and by which all sources of newer rows have been asked, the refusal says "not ready" (503, not run) with Retry-After 1 s. What old rows allow is still served: domains that are cut off serve on. Price: while the store is away from all, unknown keys and paths get 503 as well; no instance can tell that from being behind.

--- a/node/exchange/router.go
+++ b/node/exchange/router.go
@@ -217,6 +217,29 @@
 // is unavailable.
 const notReadyRetryAfter = 250 * time.Millisecond
 
+const (
+	// maxRefusalAge is the age of the store's rows from which on no request is refused by them
+	// for good: what it asks for may have been added since. By then newer rows should have come
+	// from one of several sources.
+	maxRefusalAge = 2 * time.Second
+	// oldRowsRetryAfter is the Retry-After time of such a refusal.
+	oldRowsRetryAfter = time.Second
+)
+
+// RefuseForGood returns a refusal by the routes, keys and limits that this instance knows or, if
+// these may be too old for that, one that asks for the request to be sent again.
+func (r *Router) RefuseForGood(e *refusal.Error) *refusal.Error {
+	if r.RowsAge == nil {
+		return e
+	}
+	age := r.RowsAge()
+	if age < maxRefusalAge {
+		return e
+	}
+	return refusal.New(refusal.NotReady, "send the request again after the time in Retry-After",
+		"%s, but this instance's configuration may be %d ms old", e.Detail, age.Milliseconds()).WithRetryAfter(oldRowsRetryAfter)
+}
+
 // Match finds the route and the organisation of a request.
 func (r *Router) Match(host, path, key string) (Match, *refusal.Error) {
 	t := r.table.Load()
@@ -225,12 +248,12 @@
 	}
 	m := Match{Table: t, Route: t.Route(host, path)}
 	if m.Route == nil {
-		return m, refusal.New(refusal.ServiceNotFound, "use a path that your operators have configured", "no route of host %q matches the path %q", host, path)
+		return m, r.RefuseForGood(refusal.New(refusal.ServiceNotFound, "use a path that your operators have configured", "no route of host %q matches the path %q", host, path))
 	}
 	if t.RequiresKey() && !m.Route.Public {
 		m.Organisation = t.OrganisationByKey(key)
 		if m.Organisation == nil {
-			return m, refusal.New(refusal.UnknownKey, "send a key that your operators have issued", "the request has no known API key")
+			return m, r.RefuseForGood(refusal.New(refusal.UnknownKey, "send a key that your operators have issued", "the request has no known API key"))
 		}
 	}
 	return m, nil
