node/exchange: the news of a stop does not wait for the answer to a report

What callers would see: a version that one instance has found bad, completed all the same. Cause: since a report waits for the answer to the one before, and so did the one with a stop, for up to 0.55 s. When the stop comes just before others may record the completion, and its gossip is lost, that is too late. Change: the first report with a stop is sent at once. TestStopIsReportedWhileReportIsUnderWay failed before.

--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -82,11 +82,13 @@
 	blockers  map[string]string        // that were logged last; guarded by Router.mu; by service
 
 	reportsMu sync.Mutex
-	reporting map[reportPath]bool // reports that have not been answered; guarded by reportsMu
+	reporting map[reportPath]int // number of reports that have not been answered; guarded by reportsMu
 
 	historyDue map[string]time.Time // earliest next write of a history alone, by service; used by Run only
-	// reportedOldRunning is OldRunning of the last report, by service; used by Run only.
+	// reportedOldRunning and reportedStopped are OldRunning and Stopped of the last report, by
+	// service; used by Run only.
 	reportedOldRunning map[string]int
+	reportedStopped    map[string]bool
 }
 
 // A reportPath is a service and the address of an instance that collects the reports on it.
@@ -183,6 +185,7 @@
 	c.writeDue = map[string]time.Time{}
 	c.historyDue = map[string]time.Time{}
 	c.reportedOldRunning = map[string]int{}
+	c.reportedStopped = map[string]bool{}
 	ticker := time.NewTicker(trialCheckInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -354,10 +357,13 @@
 		return
 	}
 	e := gossip.Entry{Key: check.order.Service + "/" + c.Instance, Data: data}
+	// The news of a stop must not come after that of a completion.
+	urgent := stopped && !c.reportedStopped[check.order.Service]
 	c.reportedOldRunning[check.order.Service] = check.report.OldRunning
+	c.reportedStopped[check.order.Service] = stopped
 	for _, address := range check.collectors {
 		path := reportPath{check.order.Service, address}
-		if !c.beginReport(path) {
+		if !c.beginReport(path, urgent) {
 			continue // the next report includes this one
 		}
 		go func() {
@@ -368,24 +374,27 @@
 }
 
 // beginReport reports whether a report may be sent: not before the last one has been answered
-// or has failed, so that a collector that is slow gets fewer.
-func (c *RolloutCoordinator) beginReport(p reportPath) bool {
+// or has failed, so that a collector that is slow gets fewer, unless it is urgent.
+func (c *RolloutCoordinator) beginReport(p reportPath, urgent bool) bool {
 	c.reportsMu.Lock()
 	defer c.reportsMu.Unlock()
-	if c.reporting[p] {
+	if c.reporting[p] > 0 && !urgent {
 		return false
 	}
 	if c.reporting == nil {
-		c.reporting = map[reportPath]bool{}
+		c.reporting = map[reportPath]int{}
 	}
-	c.reporting[p] = true
+	c.reporting[p]++
 	return true
 }
 
 func (c *RolloutCoordinator) endReport(p reportPath) {
 	c.reportsMu.Lock()
 	defer c.reportsMu.Unlock()
-	delete(c.reporting, p)
+	c.reporting[p]--
+	if c.reporting[p] == 0 {
+		delete(c.reporting, p)
+	}
 }
 
 // publishStop tells the other instances that the trial of an order has been stopped.
--- a/node/exchange/reports_test.go
+++ b/node/exchange/reports_test.go
@@ -71,3 +71,16 @@
 		is.True(len(p.reports)-before <= 5*2*collectorCount) // two a second to each
 	})
 }
+
+// TestStopIsReportedWhileReportIsUnderWay guards against a completion that is recorded because the news of a stop waited for the answer to a report.
+func TestStopIsReportedWhileReportIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := runSlowly(t, 5*time.Second, groupOrderDuration/2)
+		before := len(p.reports)
+		is.True(before > len(p.ended))
+		p.group.stop(0)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(len(p.reports)-before, collectorCount)
+	})
+}
