--- a/core/member/member.go
+++ b/core/member/member.go
@@ -60,6 +60,8 @@
 	// instance; empty if it takes none.
 	TunnelAddress string `json:"tunnels,omitempty"`
 	FailureDomain string `json:"failure-domain"`
+	// Capacity is the processor time that the instance has, in cores; 0 if it is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // A Status is the known status of a member.
@@ -171,10 +173,10 @@
 	return true
 }
 
-// lacks reports whether the known status is of the same version and has no address for tunnels:
-// an instance of an earlier release has passed it on.
+// lacks reports whether the known status is of the same version and has no address for tunnels
+// or no capacity: an instance of an earlier release has passed it on.
 func (m *member) lacks(s *Status) bool {
-	return s.Version() == m.Version() && m.TunnelAddress == "" && s.TunnelAddress != ""
+	return s.Version() == m.Version() && (m.TunnelAddress == "" && s.TunnelAddress != "" || m.Capacity == 0 && s.Capacity != 0)
 }
 
 // refute overrides a status of this instance by raising its incarnation.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -312,13 +312,14 @@
 	is := is.New(t)
 	now := time.Now()
 	d := New(Identity{ID: "a", Instance: "a", Address: "1"}, 1, 1)
-	full := Status{Identity: Identity{ID: "b", Instance: "b", Address: "2", TunnelAddress: "3"}, Incarnation: 7}
+	full := Status{Identity: Identity{ID: "b", Instance: "b", Address: "2", TunnelAddress: "3", Capacity: 0.8}, Incarnation: 7}
 	partial := full
-	partial.TunnelAddress = ""
+	partial.TunnelAddress, partial.Capacity = "", 0
 	is.True(d.Merge(now, partial))
 	is.True(d.Merge(now, full))
 	is.True(!d.Merge(now, partial))
 	is.True(!d.Merge(now, full))
 	known, _ := d.Get("b")
 	is.Equal(known.TunnelAddress, "3")
+	is.Equal(known.Capacity, 0.8)
 }
--- a/node/exchange/coordinator.go
+++ b/node/exchange/coordinator.go
@@ -311,20 +311,32 @@
 	return o
 }
 
-// rankInstances ranks the live instances for a service by rendezvous hashing. It
-// returns the rank of this instance, from 0, and the addresses of the collectors:
-// the first other instances in the ranking. The caller holds Router.mu.
+// rankInstances ranks the live instances for a service: those that have more processor time
+// first, as collecting reports takes much of it, and others by rendezvous hashing. It returns
+// the rank of this instance, from 0, and the addresses of the collectors: the first other
+// instances in the ranking. The caller holds Router.mu.
 func (c *RolloutCoordinator) rankInstances(service string) (rank int, collectors []string) {
-	weight := func(instance string) uint64 { return rendezvousWeight(service, instance) }
+	self := member.Status{Identity: member.Identity{Instance: c.Instance}}
 	live := make([]member.Status, 0, len(c.members))
 	for _, m := range c.members {
-		if m.State <= member.Leaving && m.Instance != c.Instance {
+		switch {
+		case m.Instance == c.Instance:
+			self.Capacity = max(self.Capacity, m.Capacity)
+		case m.State <= member.Leaving:
 			live = append(live, m)
 		}
 	}
-	slices.SortFunc(live, func(a, b member.Status) int { return cmp.Compare(weight(b.Instance), weight(a.Instance)) })
+	// Earlier releases do not tell their capacity, and rank by hashing alone.
+	byCapacity := self.Capacity > 0 && !slices.ContainsFunc(live, func(m member.Status) bool { return m.Capacity == 0 })
+	compare := func(a, b member.Status) int {
+		if byCapacity && a.Capacity != b.Capacity {
+			return cmp.Compare(b.Capacity, a.Capacity)
+		}
+		return cmp.Compare(rendezvousWeight(service, b.Instance), rendezvousWeight(service, a.Instance))
+	}
+	slices.SortFunc(live, compare)
 	for i, m := range live {
-		if weight(m.Instance) > weight(c.Instance) {
+		if compare(m, self) < 0 {
 			rank++
 		}
 		if i < collectorCount {
--- a/node/exchange/reports_test.go
+++ b/node/exchange/reports_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"banyanyard/core/gossip"
+	"banyanyard/core/member"
 	"banyanyard/core/trial"
 
 	"github.com/matryer/is"
@@ -84,3 +86,47 @@
 		is.Equal(len(p.reports)-before, collectorCount)
 	})
 }
+
+// TestReportsGoToLargeInstances guards against small instances that spend their processor time on collecting reports.
+func TestReportsGoToLargeInstances(t *testing.T) {
+	large := map[string]float64{"a": 0.2, "b": 0.8, "c": 0.2, "d": 0.8, "e": 0.2}
+	tests := []struct {
+		name       string
+		instance   string
+		capacities map[string]float64
+		rank       int
+		collectors []string // nil for those by hashing alone
+	}{
+		{name: "small instance", instance: "c", capacities: large, rank: -1, collectors: []string{"b", "d"}},
+		{name: "large instance", instance: "b", capacities: large, rank: 0, collectors: []string{"d"}},
+		{name: "an instance of an earlier release", instance: "c", capacities: map[string]float64{"a": 0.2, "b": 0.8, "c": 0.2, "d": 0.8, "e": 0}},
+		{name: "all of an earlier release", instance: "c", capacities: map[string]float64{"a": 0, "b": 0, "c": 0, "d": 0, "e": 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRouter(1)
+			defer r.Log.Close()
+			c := &RolloutCoordinator{Router: r, Instance: tt.instance}
+			var members []member.Status
+			for name, capacity := range tt.capacities {
+				members = append(members, member.Status{Identity: member.Identity{Instance: name, Address: name, Capacity: capacity}})
+			}
+			c.SetMembers(members)
+			rank, collectors := c.rankInstances("s")
+			is.Equal(len(collectors), collectorCount)
+			if tt.collectors == nil {
+				for _, name := range collectors {
+					for _, other := range []string{"a", "b", "d", "e"} {
+						is.True(slices.Contains(collectors, other) || rendezvousWeight("s", name) > rendezvousWeight("s", other))
+					}
+				}
+				return
+			}
+			for _, name := range tt.collectors {
+				is.True(slices.Contains(collectors, name))
+			}
+			is.True(rank >= tt.rank && (tt.capacities[tt.instance] == 0.8) == (rank < 2))
+		})
+	}
+}
