--- a/io/process/process.go
+++ b/io/process/process.go
@@ -14,7 +14,7 @@
 const (
 	// checkInterval is the time between checks, and reportInterval the least time between
 	// two lines of the log.
-	checkInterval  = 100 * time.Millisecond
+	checkInterval  = 250 * time.Millisecond
 	reportInterval = time.Second
 	// lateDelay is the delay of a check from which on it is logged. Time-outs of connections
 	// to upstreams are not much longer.
