--- a/core/trial/completion.go
+++ b/core/trial/completion.go
@@ -17,8 +17,7 @@
 	// moved, so that all instances can report that and the record can be written in time.
 	completionLead = time.Second
 	// maxReportAge is the age of an instance's report up to which it is taken to be
-	// running the trial still, and to send as many requests. Once the traffic has moved, an instance reports four times
-	// as often.
+	// running the trial still, and to send as many requests: twice the time between two reports.
 	maxReportAge = time.Second
 )
 
